--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,117 @@
+// Package cloud is the client of the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"roadcleat/internal/core"
+	"roadcleat/internal/httpc"
+	"roadcleat/internal/wire"
+)
+
+// Client calls the cloud within this controller's share of its budget. Returns
+// and hires may use all of it; listings leave some.
+type Client struct {
+	http   *httpc.Client
+	tokens *rate.Limiter
+}
+
+// New makes a client with a share of the cloud's calls per second.
+func New(addr string, calls float64) *Client {
+	return &Client{http: httpc.New(addr, 6), tokens: rate.NewLimiter(rate.Limit(calls), max(int(2*calls), 1))}
+}
+
+const timeout = 4 * time.Second
+
+func (c *Client) admit(ctx context.Context, urgent bool) bool {
+	if !urgent && c.tokens.Tokens() < 1.5 && c.tokens.Burst() > 1 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	return c.tokens.Wait(ctx) == nil
+}
+
+// Catalog reads the machine types.
+func (c *Client) Catalog(ctx context.Context) core.CatalogResult {
+	if !c.admit(ctx, true) {
+		return core.CatalogResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodGet, "/catalog", nil)
+	if r.Err != nil || r.Status != 200 {
+		return core.CatalogResult{Outcome: core.Unknown}
+	}
+	types, err := wire.DecodeCatalog(r.Body)
+	if err != nil {
+		return core.CatalogResult{Outcome: core.Unknown}
+	}
+	return core.CatalogResult{Outcome: core.OK, Types: types}
+}
+
+// Hosts lists all machines, page by page.
+func (c *Client) Hosts(ctx context.Context) core.HostsResult {
+	var out core.HostsResult
+	after := ""
+	for {
+		if !c.admit(ctx, false) {
+			return core.HostsResult{Outcome: core.NotSent}
+		}
+		path := "/hosts?Page=500"
+		if after != "" {
+			path += "&After=" + url.QueryEscape(after)
+		}
+		r := c.http.Do(ctx, timeout, http.MethodGet, path, nil)
+		if r.Err != nil || r.Status != 200 {
+			return core.HostsResult{Outcome: core.Unknown}
+		}
+		hosts, more, err := wire.DecodeHosts(r.Body)
+		if err != nil {
+			return core.HostsResult{Outcome: core.Unknown}
+		}
+		out.Hosts = append(out.Hosts, hosts...)
+		if !more || len(hosts) == 0 {
+			out.Outcome = core.OK
+			return out
+		}
+		after = hosts[len(hosts)-1].Name
+	}
+}
+
+// Hire rents machines.
+func (c *Client) Hire(ctx context.Context, op core.HireOp) core.HireResult {
+	if !c.admit(ctx, true) {
+		return core.HireResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodPost, "/hosts", wire.EncodeHire(op))
+	reply := wire.DecodeTxnReply(r.Body)
+	switch {
+	case r.Err != nil:
+		return core.HireResult{Outcome: core.Unknown}
+	case r.Status == 200:
+		hosts, err := wire.DecodeHired(r.Body)
+		if err != nil {
+			return core.HireResult{Outcome: core.Unknown}
+		}
+		return core.HireResult{Outcome: core.OK, Hosts: hosts}
+	case r.Status == 503 && reply.Error == "no capacity", r.Status == 400:
+		return core.HireResult{Outcome: core.Refused}
+	}
+	return core.HireResult{Outcome: core.NotSent}
+}
+
+// Return gives machines back.
+func (c *Client) Return(ctx context.Context, hosts []string) core.ReturnResult {
+	if !c.admit(ctx, true) {
+		return core.ReturnResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodPost, "/hosts/return", wire.EncodeReturn(hosts))
+	if r.Err == nil && r.Status == 200 {
+		return core.ReturnResult{Outcome: core.OK}
+	}
+	return core.ReturnResult{Outcome: core.Unknown}
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"gopkg.in/ini.v1"
+)
+
+// OperatorEnv names the file of the operators' settings when the flag does not.
+const OperatorEnv = "ROADCLEAT_OPERATOR"
+
+// Operator holds the operators' own settings.
+type Operator struct {
+	FetchSPerGB   float64 // seconds per GB assumed before any fetch was seen
+	Frontier      int     // partial schedules kept while planning
+	KeepIdleS     float64 // idle time after which a machine may be returned
+	WindowS       float64 // how far back demand is looked at
+	SpareShare    float64 // room kept beyond the demand seen
+	SilentReturnS float64 // silence after which a machine is given back
+	HoldS         float64 // life of the lease at the state service
+	GraceS        float64 // wait before taking another zone's free part
+}
+
+// Knob is one row of the operators' settings.
+type Knob struct {
+	Section, Key, Default, Doc string
+	Min, Max                   float64
+	set                        func(*Operator, float64)
+	get                        func(*Operator) float64
+}
+
+// Knobs is the one table of the operators' settings and their defaults.
+func Knobs() []Knob {
+	return []Knob{
+		{"planning", "fetch_s_per_gb", "5", "seconds to fetch one GB, until fetches were seen", 0.01, 1000,
+			func(o *Operator, v float64) { o.FetchSPerGB = v }, func(o *Operator) float64 { return o.FetchSPerGB }},
+		{"planning", "frontier", "64", "partial schedules kept at most while a pipeline is planned", 1, 4096,
+			func(o *Operator, v float64) { o.Frontier = int(v) }, func(o *Operator) float64 { return float64(o.Frontier) }},
+		{"hiring", "keep_idle_s", "40", "idle seconds after which a machine that is not needed is returned", 1, 86400,
+			func(o *Operator, v float64) { o.KeepIdleS = v }, func(o *Operator) float64 { return o.KeepIdleS }},
+		{"hiring", "window_s", "90", "seconds of past demand that the fleet is sized for", 5, 86400,
+			func(o *Operator, v float64) { o.WindowS = v }, func(o *Operator) float64 { return o.WindowS }},
+		{"hiring", "spare_share", "0.2", "share of the average demand that is kept free on top of it", 0, 10,
+			func(o *Operator, v float64) { o.SpareShare = v }, func(o *Operator) float64 { return o.SpareShare }},
+		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back", 2, 86400,
+			func(o *Operator, v float64) { o.SilentReturnS = v }, func(o *Operator) float64 { return o.SilentReturnS }},
+		{"parts", "hold_s", "8", "life of this controller's lease at the state service", 1, 600,
+			func(o *Operator, v float64) { o.HoldS = v }, func(o *Operator) float64 { return o.HoldS }},
+		{"parts", "grace_s", "2", "wait before another zone's free part is taken", 0, 600,
+			func(o *Operator, v float64) { o.GraceS = v }, func(o *Operator) float64 { return o.GraceS }},
+	}
+}
+
+// Value prints what a knob is set to.
+func (k Knob) Value(o *Operator) string { return strconv.FormatFloat(k.get(o), 'g', -1, 64) }
+
+// DefaultOperator is what holds when there is no operators' file.
+func DefaultOperator() *Operator {
+	o := new(Operator)
+	for _, k := range Knobs() {
+		v, err := strconv.ParseFloat(k.Default, 64)
+		if err != nil {
+			panic("config: default of " + k.Key + " is no number")
+		}
+		k.set(o, v)
+	}
+	return o
+}
+
+// LoadOperator reads the operators' file. An empty path means the one named
+// by the environment, or none.
+func LoadOperator(path string) (*Operator, error) {
+	if path == "" {
+		path = os.Getenv(OperatorEnv)
+	}
+	if path == "" {
+		return DefaultOperator(), nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	return ParseOperator(data)
+}
+
+// ParseOperator reads the operators' settings; keys it does not know are errors.
+func ParseOperator(data []byte) (*Operator, error) {
+	f, err := ini.Load(data)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	known := map[[2]string]Knob{}
+	for _, k := range Knobs() {
+		known[[2]string{k.Section, k.Key}] = k
+	}
+	o := DefaultOperator()
+	for _, sec := range f.Sections() {
+		for _, key := range sec.Keys() {
+			k, ok := known[[2]string{sec.Name(), key.Name()}]
+			if !ok {
+				return nil, fmt.Errorf("operator settings: [%s] %s: unknown key", sec.Name(), key.Name())
+			}
+			v, err := key.Float64()
+			if err != nil || !(v >= k.Min && v <= k.Max) {
+				return nil, fmt.Errorf("operator settings: [%s] %s: %q is not a number from %g to %g",
+					k.Section, k.Key, key.Value(), k.Min, k.Max)
+			}
+			k.set(o, v)
+		}
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,301 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"roadcleat/internal/plan"
+)
+
+// Peer is another controller.
+type Peer struct{ Label, Zone string }
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	Name             string
+	Guarantee, Limit Amount
+}
+
+// Knobs are the operators' settings.
+type Knobs struct {
+	FetchSPerGB  float64
+	Frontier     int
+	KeepIdle     time.Duration
+	Window       time.Duration
+	SpareShare   float64
+	SilentReturn time.Duration
+	Hold         time.Duration
+	Grace        time.Duration
+}
+
+// Config is what a controller knows from its settings.
+type Config struct {
+	Label, Zone           string
+	Zones                 []string
+	Peers                 []Peer
+	Teams                 []Team
+	Waits                 map[string]float64 // tightest start aim per class
+	Report, Lease, Cancel time.Duration
+	ListLag               time.Duration
+	TxnOps, ValueBytes    int
+	Knobs                 Knobs
+	Boot                  uint64 // which life of this controller; never the same twice
+	Seed                  uint64
+}
+
+// Core is one controller. It is not safe for concurrent use: one goroutine
+// owns it.
+type Core struct {
+	cfg     Config
+	now     time.Duration
+	out     []any
+	calls   map[uint64]func(any)
+	callSeq uint64
+	rng     *rand.Rand
+
+	zones, teams, images, classes names
+	types                         []MachineType
+	typeIdx                       names
+	catalogAt, catalogAsked       time.Duration
+	catalogBusy                   bool
+
+	parts []*part // by zone
+	peers []*peer // as in the settings
+	jobs  map[string]*job
+	final map[string]Standing // ended jobs; kept for ever
+
+	quotas []*quota // by team
+	limits []Team   // by team
+
+	lease          uint64
+	leaseSent      time.Duration // when the last good renewal was sent
+	leaseBusy      bool
+	leaseRetry     time.Duration
+	storeOK        time.Duration // when a call that then succeeded was last sent
+	storeBadSince  time.Duration
+	storeSeen      bool
+	partsView      view
+	jobsView       view
+	gossipAt       time.Duration
+	batch          []*submission
+	batching       map[string]*submission
+	commitsInUse   int
+	listAt         time.Duration
+	listBusy       bool
+	shown          map[string][]Shown
+	classRatio     []float64 // observed over estimated run time, by class
+	sPerGB         map[int]float64
+	tickAt, sizeAt time.Duration
+	stats          Stats
+}
+
+// Stats are counters for the operators.
+type Stats struct {
+	Placed, Finished, Requeued, Hired, Returned, Moves, Conflicts, Plans uint64
+	FetchSeconds, FetchGB                                                float64
+}
+
+// view is how far this controller has followed a prefix of the store.
+type view struct {
+	prefix  string
+	loaded  bool
+	busy    bool
+	ledger  uint64
+	fresh   time.Duration // everything before this moment is known
+	started bool          // fresh is meaningful
+	nextAt  time.Duration
+}
+
+// New makes a controller that owns nothing yet.
+func New(cfg Config) *Core {
+	c := &Core{
+		cfg: cfg, calls: map[uint64]func(any){},
+		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
+		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{},
+		shown: map[string][]Shown{}, sPerGB: map[int]float64{},
+		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
+	}
+	for _, z := range cfg.Zones {
+		c.zone(z)
+	}
+	for _, t := range cfg.Teams {
+		c.teams.of(t.Name)
+		c.quotas = append(c.quotas, &quota{team: t.Name})
+		c.limits = append(c.limits, t)
+	}
+	for _, p := range cfg.Peers {
+		c.peers = append(c.peers, &peer{Peer: p, heard: -time.Hour})
+	}
+	return c
+}
+
+// Handle feeds one event at the given time and returns what is to be done.
+// The slice is valid until the next call.
+func (c *Core) Handle(now time.Duration, event any) []any {
+	if now > c.now {
+		c.now = now
+	}
+	c.out = c.out[:0]
+	switch e := event.(type) {
+	case Tick:
+	case Answer:
+		if then := c.calls[e.ID]; then != nil {
+			delete(c.calls, e.ID)
+			then(e.Result)
+		}
+	case Submit:
+		c.submit(e)
+	case Poll:
+		c.poll(e)
+	case Withdraw:
+		c.withdraw(e)
+	case Beat:
+		c.beat(e)
+	case PeerMessage:
+		c.hear(e.From, e.Message)
+	}
+	return c.out
+}
+
+// Settle does the work that is due after a batch of events: leases, views,
+// plans and commits. The slice is valid until the next call.
+func (c *Core) Settle(now time.Duration) []any {
+	if now > c.now {
+		c.now = now
+	}
+	c.out = c.out[:0]
+	c.flushSubmissions()
+	if c.now >= c.tickAt {
+		c.tickAt = c.now + 100*time.Millisecond
+		c.keepLease()
+		c.follow(&c.partsView)
+		c.follow(&c.jobsView)
+		c.keepCatalog()
+		c.keepParts()
+		c.keepHosts()
+		c.gossip()
+	}
+	for _, p := range c.parts {
+		if p.mine && p.loaded {
+			c.work(p)
+		}
+	}
+	return c.out
+}
+
+func (c *Core) emit(e any) { c.out = append(c.out, e) }
+
+func (c *Core) note(level int, text string, args ...any) {
+	c.emit(Note{level, text, args})
+}
+
+// call asks for something outside; then runs with its result.
+func (c *Core) call(op any, then func(any)) {
+	c.callSeq++
+	c.calls[c.callSeq] = then
+	c.emit(Call{c.callSeq, op})
+}
+
+// store notes whether the state service answers.
+func (c *Core) store(sent time.Duration, ok bool) {
+	if ok {
+		c.storeOK, c.storeSeen, c.storeBadSince = max(c.storeOK, sent), true, 0
+	} else if c.storeBadSince == 0 {
+		c.storeBadSince = c.now
+	}
+}
+
+func (c *Core) read(key string, urgent bool, then func(ReadResult)) {
+	sent := c.now
+	c.call(ReadOp{key, urgent}, func(r any) {
+		res := r.(ReadResult)
+		c.store(sent, res.Outcome == OK)
+		then(res)
+	})
+}
+
+func (c *Core) commit(t Txn, urgent bool, then func(CommitResult)) {
+	sent := c.now
+	c.call(CommitOp{t, urgent}, func(r any) {
+		res := r.(CommitResult)
+		c.store(sent, res.Outcome == OK || res.Outcome == Refused)
+		then(res)
+	})
+}
+
+// zone returns the index of a zone and makes its part when it is new.
+func (c *Core) zone(name string) int {
+	z := c.zones.of(name)
+	for len(c.parts) <= z {
+		c.parts = append(c.parts, newPart(len(c.parts), c.zones.list[len(c.parts)]))
+	}
+	return z
+}
+
+// keepCatalog refreshes the machine types and their prices.
+func (c *Core) keepCatalog() {
+	wait := 30 * time.Second
+	if len(c.types) == 0 {
+		wait = time.Second
+	}
+	if c.catalogBusy || c.catalogAsked > 0 && c.now < c.catalogAsked+wait {
+		return
+	}
+	c.catalogBusy, c.catalogAsked = true, c.now
+	c.call(CatalogOp{}, func(r any) {
+		c.catalogBusy = false
+		res := r.(CatalogResult)
+		if res.Outcome != OK || len(res.Types) == 0 {
+			return
+		}
+		for _, t := range res.Types {
+			i := c.typeIdx.of(t.Name)
+			for len(c.types) <= i {
+				c.types = append(c.types, MachineType{})
+			}
+			c.types[i] = t
+			for _, z := range t.Zones {
+				c.zone(z)
+			}
+		}
+		c.catalogAt = c.now
+	})
+}
+
+// kind is the dense index of a machine's zone, type and kind.
+func (c *Core) kind(zone, typ int, spot bool) int {
+	k := (zone*len(c.types) + typ) * 2
+	if spot {
+		k++
+	}
+	return k
+}
+
+func (a Amount) plan() plan.Amount { return plan.Amount{Cores: a.Cores, Cards: a.Cards, Mem: a.Mem} }
+
+func (a Amount) plus(b Amount, times float64) Amount {
+	return Amount{a.Cores + b.Cores*times, a.Cards + b.Cards*times, a.Mem + b.Mem*times}
+}
+
+func seconds(d time.Duration) float64 { return d.Seconds() }
+
+func duration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Healthy says whether this controller can take requests. When nobody reaches
+// the state service, it is as good as any: it answers what it knows and says
+// when to come back. When only it is cut off, users are better served
+// elsewhere.
+func (c *Core) Healthy() bool {
+	if !c.storeSeen || len(c.types) == 0 {
+		return false
+	}
+	if c.now < c.storeOK+2500*time.Millisecond || c.storeBadSince == 0 {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.gossip != nil && c.now < p.gossipAt+2*time.Second && p.gossip.StoreOK {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/events.go
@@ -0,0 +1,401 @@
+// Package core holds the truth of one controller. It does no input or output
+// and knows no clock: events and the time go in, effects come out.
+package core
+
+import "time"
+
+// Amount is what a task takes of its machine.
+type Amount struct {
+	Cores float64 `json:"c,omitempty"`
+	Cards float64 `json:"g,omitempty"`
+	Mem   float64 `json:"m,omitempty"`
+}
+
+// Spec is a job as its user described it.
+type Spec struct {
+	ID         string   `json:"-"`
+	Class      string   `json:"cl,omitempty"`
+	Team       string   `json:"te"`
+	Service    bool     `json:"sv,omitempty"`
+	Priority   int      `json:"pr"` // 0 is the most urgent
+	Tasks      int      `json:"n"`
+	Need       Amount   `json:"a"`
+	Types      []string `json:"ty,omitempty"`
+	Zone       string   `json:"z,omitempty"`
+	OneZone    bool     `json:"oz,omitempty"`
+	Apart      bool     `json:"ap,omitempty"`
+	Spot       bool     `json:"sp,omitempty"`
+	Image      string   `json:"im,omitempty"`
+	ImageGB    float64  `json:"gb,omitempty"`
+	Estimate   float64  `json:"es,omitempty"`
+	Checkpoint float64  `json:"cp,omitempty"`
+	Save       float64  `json:"sa,omitempty"`
+	Deadline   float64  `json:"dl,omitempty"`
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   string
+	Index int
+}
+
+// States of a task on a machine, as a worker reports them.
+const (
+	Fetching = iota + 1
+	Running
+	Saving
+	Ended
+)
+
+// Causes of a task's end.
+const (
+	Done = iota + 1
+	Stopped
+	Failed
+	NoRoom
+	InUse
+	NoSuch
+)
+
+// Reported is one task in a worker's report.
+type Reported struct {
+	Task    TaskID
+	Attempt uint64
+	State   int
+	Cause   int
+	Saved   bool
+}
+
+// Report is a worker's report.
+type Report struct {
+	Host, Addr, Type, Zone string
+	Spot                   bool
+	Session, Seq, Token    uint64
+	Notice                 float64 // seconds until the machine is taken, or negative
+	Tasks                  []Reported
+}
+
+// Verbs of an order.
+const (
+	Launch = iota + 1
+	Halt
+	Clear
+)
+
+// Order is a command to a worker.
+type Order struct {
+	Verb    int
+	Task    TaskID
+	Attempt uint64
+	Leeway  float64
+}
+
+// Guard is a condition of a transaction; stamp 0 means the key does not exist.
+type Guard struct {
+	Key   string
+	Stamp uint64
+}
+
+// Set is one change of a transaction. A nil value deletes the key.
+type Set struct {
+	Key   string
+	Value []byte
+	Lease uint64
+}
+
+// Txn is a transaction at the state service.
+type Txn struct {
+	Guards []Guard
+	Apply  []Set
+}
+
+// Item is a key as the state service holds it.
+type Item struct {
+	Key   string
+	Value []byte
+	Stamp uint64
+}
+
+// Outcome of a call to something outside.
+type Outcome int
+
+// Outcomes: the call was carried out; it was answered but refused; it
+// certainly was not carried out; or nobody can tell.
+const (
+	Unknown Outcome = iota
+	OK
+	Refused
+	NotSent
+)
+
+// Calls to the outside. Each is answered by exactly one Answer whose Result
+// is the matching type below.
+type (
+	// CommitOp commits a transaction. Urgent calls go ahead of the others.
+	CommitOp struct {
+		Txn    Txn
+		Urgent bool
+	}
+	// ReadOp reads a key.
+	ReadOp struct {
+		Key    string
+		Urgent bool
+	}
+	// ListOp lists all keys with a prefix.
+	ListOp struct{ Prefix string }
+	// FollowOp waits for changes.
+	FollowOp struct {
+		Prefix string
+		After  uint64
+		Wait   time.Duration
+	}
+	// HoldOp asks for a lease.
+	HoldOp struct{ Life time.Duration }
+	// RenewOp renews it.
+	RenewOp struct{ Lease uint64 }
+	// CatalogOp reads the machine types.
+	CatalogOp struct{}
+	// HostsOp lists all machines.
+	HostsOp struct{}
+	// HireOp rents machines.
+	HireOp struct {
+		Name, Type, Zone string
+		Spot             bool
+		Number           int
+	}
+	// ReturnOp gives machines back.
+	ReturnOp struct{ Hosts []string }
+	// OrdersOp sends orders straight to a worker.
+	OrdersOp struct {
+		Addr           string
+		Token, Session uint64
+		Orders         []Order
+	}
+	// ShowOp asks a worker for its report.
+	ShowOp struct{ Addr string }
+)
+
+// Results of the calls.
+type (
+	// CommitResult: OK with the revision, Refused with the keys that differ
+	// (or a lease that ended), NotSent or Unknown.
+	CommitResult struct {
+		Outcome  Outcome
+		Revision uint64
+		Failed   []string
+		NoLease  bool
+	}
+	// ReadResult: OK, with Found false for a key that does not exist.
+	ReadResult struct {
+		Outcome Outcome
+		Found   bool
+		Item    Item
+	}
+	// ListResult holds all keys and the revision they were read at or after.
+	ListResult struct {
+		Outcome Outcome
+		Items   []Item
+		Ledger  uint64
+	}
+	// FollowResult holds changes; Refused means that After is too old.
+	FollowResult struct {
+		Outcome Outcome
+		Ledger  uint64
+		News    []Item // Value nil: deleted
+	}
+	// HoldResult is a lease.
+	HoldResult struct {
+		Outcome Outcome
+		Lease   uint64
+	}
+	// RenewResult: Refused means that the lease has ended.
+	RenewResult struct{ Outcome Outcome }
+	// CatalogResult holds the machine types.
+	CatalogResult struct {
+		Outcome Outcome
+		Types   []MachineType
+	}
+	// HostsResult is a whole listing.
+	HostsResult struct {
+		Outcome Outcome
+		Hosts   []Listed
+	}
+	// HireResult: Refused means no capacity.
+	HireResult struct {
+		Outcome Outcome
+		Hosts   []string
+	}
+	// ReturnResult says whether the machines are gone.
+	ReturnResult struct{ Outcome Outcome }
+	// WorkerResult: OK when executed, Refused on a token or session mismatch.
+	WorkerResult struct {
+		Outcome Outcome
+		Report  *Report
+	}
+)
+
+// MachineType is one row of the cloud's catalogue.
+type MachineType struct {
+	Name             string
+	Total            Amount
+	CacheGB, GBPerS  float64
+	Price, SpotPrice float64
+	BootS            float64
+	Zones            []string
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	State                  string // booting, running or failed
+	HeldS                  float64
+}
+
+// Events. Req numbers are given by the runtime and come back in the replies.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Answer is the result of a call.
+	Answer struct {
+		ID     uint64
+		Result any
+	}
+	// Submit is a submission. Bad is set when the body was malformed.
+	Submit struct {
+		Req  uint64
+		Spec Spec
+		Bad  string
+	}
+	// Poll asks for a job's state.
+	Poll struct {
+		Req uint64
+		ID  string
+	}
+	// Withdraw cancels a job.
+	Withdraw struct {
+		Req uint64
+		ID  string
+	}
+	// Beat is a worker's report.
+	Beat struct {
+		Req    uint64
+		Report Report
+	}
+	// PeerMessage came from another controller.
+	PeerMessage struct {
+		From    int
+		Message Message
+	}
+)
+
+// Effects.
+type (
+	// Call asks for something outside.
+	Call struct {
+		ID uint64
+		Op any
+	}
+	// Reply answers a user. Status 200 and 201 carry Run.
+	Reply struct {
+		Req        uint64
+		Status     int
+		Run        RunState
+		RetryAfter int
+		Why        string
+	}
+	// BeatReply answers a worker.
+	BeatReply struct {
+		Req     uint64
+		Status  int
+		Token   uint64
+		Orders  []Order
+		Foreman string
+	}
+	// Tell sends a message to another controller.
+	Tell struct {
+		To      int
+		Message Message
+	}
+	// Note is a line for the log.
+	Note struct {
+		Level int // 0 debug, 1 info, 2 warning
+		Text  string
+		Args  []any
+	}
+)
+
+// Standing is a job's state as users see it.
+type Standing int
+
+// Standings.
+const (
+	Pending Standing = iota
+	Active
+	Complete
+	Withdrawn
+)
+
+// RunState is the answer to a user.
+type RunState struct {
+	ID            string
+	Standing      Standing
+	Done, Running int
+}
+
+// Message is what controllers send each other.
+type Message struct {
+	Boot   uint64 // which life of the sender
+	Gossip *Gossip
+	Jobs   []Item // job/ keys as just read or written
+	Slices []Item // slice/ keys as just written
+	Freed  []string
+	Grants []string // teams whose idle grants the sender needs
+}
+
+// Gossip is what a controller tells the others twice a second.
+type Gossip struct {
+	StoreOK bool
+	Ledger  uint64 // its view of job/ is complete up to here ...
+	AgeMs   int64  // ... as of so long ago; negative: no view
+	Parts   []PartView
+	Heard   map[string]int // workers of parts not its own heard lately
+}
+
+// PartView is a summary of a part by its owner.
+type PartView struct {
+	Zone   string
+	Token  uint64
+	Hosts  []HostView
+	Scarce []Offer // machines that were refused lately
+	Show   []Shown
+	Used   map[string]Amount
+}
+
+// Offer names a kind of machine.
+type Offer struct {
+	Type string
+	Spot bool
+}
+
+// HostView is a machine as the other controllers need to know it.
+type HostView struct {
+	Name, Type string
+	Spot       bool
+	Up         float64 // seconds until it can take work
+	Uses       []UseView
+	Images     []string
+	FetchAt    float64
+}
+
+// UseView is room taken for some seconds more.
+type UseView struct {
+	For    float64
+	Amount Amount
+}
+
+// Shown holds a job's counts for display.
+type Shown struct {
+	ID            string
+	Done, Running int
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,475 @@
+package core
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+)
+
+// job is what this controller knows of an unfinished job.
+type job struct {
+	id       string
+	spec     Spec
+	standing Standing // Pending while unfinished
+	stamp    uint64
+	born     uint64 // order of arrival
+	split    map[string]ranges
+	moves    int
+	team     int
+	class    int
+	image    int // -1: none
+	types    map[int]bool
+	holdTo   time.Duration // no launches before, after workers refused it
+	moveAt   time.Duration
+	learned  time.Duration
+}
+
+// jobValue is a job as the state service holds it. The split is how its tasks
+// were first dealt out; once tasks have moved the slices alone tell.
+type jobValue struct {
+	Spec     Spec              `json:"s"`
+	Standing string            `json:"st,omitempty"`
+	Split    map[string]ranges `json:"p,omitempty"`
+	Moves    int               `json:"m,omitempty"`
+}
+
+const (
+	standingDone      = "done"
+	standingWithdrawn = "withdrawn"
+)
+
+func (j *job) key() string { return "job/" + j.id }
+
+func (j *job) value(standing string) []byte {
+	v, _ := json.Marshal(jobValue{j.spec, standing, j.split, j.moves})
+	return v
+}
+
+// learnJob applies a job's key as read, written or told. Final standings are
+// kept for ever; they never change again.
+func (c *Core) learnJob(id string, value []byte, stamp uint64) *job {
+	if _, over := c.final[id]; over {
+		return nil
+	}
+	j := c.jobs[id]
+	if j != nil && stamp <= j.stamp {
+		return j
+	}
+	var v jobValue
+	if json.Unmarshal(value, &v) != nil {
+		return j
+	}
+	if v.Standing != "" {
+		s := Complete
+		if v.Standing == standingWithdrawn {
+			s = Withdrawn
+		}
+		c.finalise(id, s)
+		return nil
+	}
+	if j == nil {
+		v.Spec.ID = id
+		j = &job{id: id, spec: v.Spec, born: stamp, image: -1, learned: c.now}
+		j.team, j.class = c.teams.known(v.Spec.Team), c.classes.of(v.Spec.Class)
+		if v.Spec.Image != "" {
+			j.image = c.images.of(v.Spec.Image)
+		}
+		c.jobs[id] = j
+	}
+	j.stamp, j.split, j.moves = stamp, v.Split, v.Moves
+	for zone, r := range v.Split {
+		z := c.zones.known(zone)
+		if z < 0 || !c.parts[z].mine || !c.parts[z].loaded || c.parts[z].slices[id] != nil {
+			continue
+		}
+		p := c.parts[z]
+		if j.moves == 0 {
+			sv, _ := json.Marshal(sliceValue{Waiting: r})
+			c.adoptSlice(p, id, sv, stamp)
+			continue
+		}
+		c.read(sliceKey(zone, id), true, func(res ReadResult) {
+			if res.Outcome == OK && res.Found && p.mine && p.loaded {
+				c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
+			}
+		})
+	}
+	return j
+}
+
+// finalise records that a job is over.
+func (c *Core) finalise(id string, s Standing) {
+	c.final[id] = s
+	j := c.jobs[id]
+	delete(c.jobs, id)
+	if j == nil {
+		j = &job{id: id}
+	}
+	j.standing = s
+	for _, p := range c.parts {
+		sl := p.slices[id]
+		if !p.mine || sl == nil {
+			continue
+		}
+		sl.job.standing = s
+		p.replan = true
+		c.endSlice(p, sl)
+	}
+}
+
+// rereadLive reads every unfinished job it has work of again, after changes
+// may have been missed.
+func (c *Core) rereadLive() {
+	for id := range c.jobs {
+		c.read("job/"+id, true, func(res ReadResult) {
+			if res.Outcome == OK && res.Found {
+				c.learnJob(id, res.Item.Value, res.Item.Stamp)
+			}
+		})
+	}
+}
+
+// allowedOn says whether a machine of the kind may run the job's tasks.
+func (c *Core) allowedOn(j *job, kind int) bool {
+	spot, rest := kind&1 == 1, kind/2
+	typ, zone := rest%len(c.types), rest/len(c.types)
+	if spot && !j.spec.Spot || j.spec.Zone != "" && c.zones.list[zone] != j.spec.Zone {
+		return false
+	}
+	if len(j.spec.Types) == 0 {
+		return true
+	}
+	for _, t := range j.spec.Types {
+		if c.types[typ].Name == t {
+			return true
+		}
+	}
+	return false
+}
+
+// submission is a job on its way into the store, with all who wait for it.
+type submission struct {
+	spec    Spec
+	split   map[string]ranges
+	reqs    []uint64
+	sent    bool
+	alone   bool
+	arrived time.Duration
+}
+
+const (
+	maxBatch       = 256
+	maxCommits     = 8
+	retryBusy      = 1
+	retryStoreAway = 2
+)
+
+func (c *Core) refuse(req uint64, status, after int, why string) {
+	c.emit(Reply{Req: req, Status: status, RetryAfter: after, Why: why})
+}
+
+// submit takes a submission. A job known already gets its state, whatever
+// else the body says.
+func (c *Core) submit(e Submit) {
+	id := e.Spec.ID
+	if id == "" {
+		c.refuse(e.Req, 400, 0, e.Bad)
+		return
+	}
+	if s, over := c.final[id]; over {
+		c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: id, Standing: s}})
+		return
+	}
+	if b := c.batching[id]; b != nil {
+		b.reqs = append(b.reqs, e.Req)
+		return
+	}
+	why, status := e.Bad, 400
+	if why == "" {
+		if len(c.types) == 0 {
+			c.refuse(e.Req, 503, retryStoreAway, "machine types not known yet")
+			return
+		}
+		why, status = c.neverRuns(&e.Spec), 422
+	}
+	if why != "" || c.jobs[id] != nil {
+		c.lookUp(e.Req, id, func() { c.refuse(e.Req, status, 0, why) })
+		return
+	}
+	if !c.storeWell() {
+		c.refuse(e.Req, 503, retryStoreAway, "state service out of reach")
+		return
+	}
+	if len(c.batch) >= maxBatch {
+		c.refuse(e.Req, 503, retryBusy, "too many submissions at once")
+		return
+	}
+	b := &submission{spec: e.Spec, reqs: []uint64{e.Req}, arrived: c.now}
+	c.batch = append(c.batch, b)
+	c.batching[id] = b
+}
+
+// neverRuns says why a job can never run, or nothing.
+func (c *Core) neverRuns(s *Spec) string {
+	team := c.teams.known(s.Team)
+	if team < 0 {
+		return "unknown team"
+	}
+	lim, times := c.limits[team].Limit, 1.0
+	if s.Service {
+		times = float64(s.Tasks)
+	}
+	if s.Need.Cores*times > lim.Cores+1e-6 || s.Need.Cards*times > lim.Cards+1e-6 {
+		return "needs more than the team's limit"
+	}
+	if s.Zone != "" && s.Apart && s.Tasks > 1 {
+		return "tasks must be apart but only one zone is allowed"
+	}
+	for i := range c.types {
+		t := &c.types[i]
+		if s.Need.plan().Within(t.Total.plan()) && (s.Zone == "" || contains(t.Zones, s.Zone)) &&
+			(len(s.Types) == 0 || contains(s.Types, t.Name)) {
+			return ""
+		}
+	}
+	return "no allowed machine type holds a task"
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// lookUp answers with the job's state if the store has it, else does absent.
+func (c *Core) lookUp(req uint64, id string, absent func()) {
+	c.read("job/"+id, false, func(res ReadResult) {
+		switch {
+		case res.Outcome != OK:
+			c.refuse(req, 503, retryBusy, "state service out of reach")
+		case !res.Found:
+			absent()
+		default:
+			c.learnJob(id, res.Item.Value, res.Item.Stamp)
+			c.emit(Reply{Req: req, Status: 200, Run: c.runState(id)})
+		}
+	})
+}
+
+func (c *Core) runState(id string) RunState {
+	r := RunState{ID: id}
+	if s, over := c.final[id]; over {
+		r.Standing = s
+		return r
+	}
+	for _, p := range c.parts {
+		if p.mine && p.loaded {
+			if s := p.slices[id]; s != nil {
+				r.Done += s.done.count()
+				r.Running += s.running()
+			}
+			continue
+		}
+		for _, s := range c.shown[p.name] {
+			if s.ID == id {
+				r.Done += s.Done
+				r.Running += s.Running
+			}
+		}
+	}
+	if r.Running > 0 {
+		r.Standing = Active
+	}
+	return r
+}
+
+// flushSubmissions commits what has gathered, as much at a time as one
+// transaction takes.
+func (c *Core) flushSubmissions() {
+	for len(c.batch) > 0 && c.commitsInUse < maxCommits {
+		var t Txn
+		var group []*submission
+		size := 0
+		for len(c.batch) > 0 {
+			b := c.batch[0]
+			if c.now > b.arrived+3500*time.Millisecond {
+				c.drop(b, 503, "state service too slow")
+				c.batch = c.batch[1:]
+				continue
+			}
+			if b.split == nil {
+				b.split = c.deal(&b.spec)
+			}
+			if ops := len(b.split) + 1; len(group) > 0 && (b.alone || len(t.Apply)+ops > c.cfg.TxnOps) {
+				break
+			}
+			j := job{id: b.spec.ID, spec: b.spec, split: b.split}
+			value := j.value("")
+			if len(group) > 0 && size+3*len(value) > 48<<10 {
+				break
+			}
+			size += 3 * len(value)
+			t.Guards = append(t.Guards, Guard{j.key(), 0})
+			t.Apply = append(t.Apply, Set{Key: j.key(), Value: value})
+			for _, zone := range c.zones.list {
+				if r, ok := b.split[zone]; ok {
+					sv, _ := json.Marshal(sliceValue{Waiting: r})
+					t.Apply = append(t.Apply, Set{Key: sliceKey(zone, b.spec.ID), Value: sv})
+				}
+			}
+			group = append(group, b)
+			c.batch = c.batch[1:]
+			if b.alone {
+				break
+			}
+		}
+		if len(group) == 0 {
+			return
+		}
+		c.commitsInUse++
+		c.commit(t, false, func(res CommitResult) {
+			c.commitsInUse--
+			c.accepted(group, t, res)
+		})
+	}
+}
+
+func (c *Core) accepted(group []*submission, t Txn, res CommitResult) {
+	switch res.Outcome {
+	case OK:
+		var news []Item
+		for _, s := range t.Apply {
+			if len(s.Key) > 4 && s.Key[:4] == "job/" {
+				news = append(news, Item{s.Key, s.Value, res.Revision})
+				c.learnJob(s.Key[4:], s.Value, res.Revision)
+			}
+		}
+		c.tellAll(Message{Jobs: news})
+		for _, b := range group {
+			delete(c.batching, b.spec.ID)
+			c.note(1, "job accepted", "job", b.spec.ID, "tasks", b.spec.Tasks, "parts", len(b.split))
+			for i, req := range b.reqs {
+				status := 201
+				if i > 0 {
+					status = 200
+				}
+				c.emit(Reply{Req: req, Status: status, Run: RunState{ID: b.spec.ID}})
+			}
+		}
+	case Refused:
+		// Some of them are known already; the others go one by one.
+		for _, b := range group {
+			if !contains(res.Failed, "job/"+b.spec.ID) {
+				b.alone = true
+				c.batch = append(c.batch, b)
+				continue
+			}
+			delete(c.batching, b.spec.ID)
+			for _, req := range b.reqs {
+				c.lookUp(req, b.spec.ID, func() { c.refuse(req, 503, retryBusy, "changed meanwhile") })
+			}
+		}
+	case Unknown:
+		// It may have been accepted: say so if it was, else have it repeated.
+		for _, b := range group {
+			delete(c.batching, b.spec.ID)
+			for _, req := range b.reqs {
+				c.lookUp(req, b.spec.ID, func() { c.refuse(req, 503, retryBusy, "no answer from the state service") })
+			}
+		}
+	default:
+		for _, b := range group {
+			c.drop(b, 503, "state service refused")
+		}
+	}
+}
+
+func (c *Core) drop(b *submission, status int, why string) {
+	delete(c.batching, b.spec.ID)
+	for _, req := range b.reqs {
+		c.refuse(req, status, retryBusy, why)
+	}
+}
+
+// poll answers a user who asks for a job.
+func (c *Core) poll(e Poll) {
+	if s, over := c.final[e.ID]; over {
+		c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: e.ID, Standing: s}})
+		return
+	}
+	c.lookUp(e.Req, e.ID, func() { c.refuse(e.Req, 404, 0, "no such job") })
+}
+
+// withdraw cancels a job.
+func (c *Core) withdraw(e Withdraw) { c.tryWithdraw(e, 4) }
+
+func (c *Core) tryWithdraw(e Withdraw, tries int) {
+	if s, over := c.final[e.ID]; over {
+		c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: e.ID, Standing: s}})
+		return
+	}
+	if tries == 0 {
+		c.refuse(e.Req, 503, retryBusy, "changing too fast")
+		return
+	}
+	c.read("job/"+e.ID, true, func(res ReadResult) {
+		if res.Outcome != OK {
+			c.refuse(e.Req, 503, retryBusy, "state service out of reach")
+			return
+		}
+		if !res.Found {
+			c.refuse(e.Req, 404, 0, "no such job")
+			return
+		}
+		c.learnJob(e.ID, res.Item.Value, res.Item.Stamp)
+		j := c.jobs[e.ID]
+		if j == nil || j.stamp != res.Item.Stamp {
+			c.tryWithdraw(e, tries-1)
+			return
+		}
+		key, value := j.key(), j.value(standingWithdrawn)
+		t := Txn{Guards: []Guard{{key, j.stamp}}, Apply: []Set{{Key: key, Value: value}}}
+		c.commit(t, true, func(res CommitResult) {
+			if res.Outcome != OK {
+				c.tryWithdraw(e, tries-1)
+				return
+			}
+			c.note(1, "job withdrawn", "job", e.ID)
+			c.finalise(e.ID, Withdrawn)
+			c.tellAll(Message{Jobs: []Item{{key, value, res.Revision}}})
+			c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: e.ID, Standing: Withdrawn}})
+		})
+	})
+}
+
+// estimate is the expected run time of a job's task, corrected by what was
+// seen of its class.
+func (c *Core) estimate(j *job) float64 {
+	e := j.spec.Estimate
+	if e <= 0 {
+		e = 3600
+		if !j.spec.Service {
+			e = 30
+		}
+	}
+	if j.class < len(c.classRatio) && c.classRatio[j.class] > 0 {
+		e *= c.classRatio[j.class]
+	}
+	return e
+}
+
+// ran learns from a completed task of the class.
+func (c *Core) ran(j *job, seconds float64) {
+	if j.spec.Estimate <= 0 || seconds <= 0 {
+		return
+	}
+	for len(c.classRatio) <= j.class {
+		c.classRatio = append(c.classRatio, 1)
+	}
+	r := math.Log(c.classRatio[j.class])
+	x := math.Log(min(max(seconds/j.spec.Estimate, 0.1), 10))
+	c.classRatio[j.class] = math.Exp(r + 0.05*(x-r))
+}
--- /dev/null
+++ b/internal/core/parts.go
@@ -0,0 +1,507 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+)
+
+// part is one zone's machines. Whoever holds its key in the state service
+// owns it; the revision of that claim is the fencing token.
+type part struct {
+	zone int
+	name string
+
+	known     bool   // the store's view of the key has been read
+	owner     string // by the store's view; empty when free
+	stamp     uint64
+	freeSince time.Duration
+	missed    time.Duration // since when the owner has been out of touch
+
+	mine     bool
+	token    uint64
+	tenure   uint64 // first token of my unbroken ownership
+	claiming bool
+	yielding bool // told to stop: commit nothing, answer nobody
+	loading  bool
+	loaded   bool
+	homeUp   time.Duration // since when the home controller is seen well
+
+	hosts  map[string]*host
+	gone   map[string]time.Duration // machines whose return was confirmed
+	slices map[string]*slice
+	dirty  map[string]*slice
+	used   []Amount // by team
+
+	committing bool
+	refreshing map[string]bool
+	replan     bool
+	planAt     time.Duration
+	retryAt    time.Duration
+	reclaimAt  time.Duration // when a raised token is due, 0 for never
+
+	hireSeq  int
+	hiring   []*hire
+	scarce   map[Offer]time.Duration
+	demand   []sample
+	shortage []need
+	loadedAt time.Duration
+
+	view      *PartView // by the owner's gossip
+	viewAt    time.Duration
+	devices   []device // the view as the programme sees it
+	devicesAt time.Duration
+}
+
+type partValue struct {
+	Owner string `json:"owner"`
+}
+
+func newPart(zone int, name string) *part {
+	return &part{zone: zone, name: name, hosts: map[string]*host{}, gone: map[string]time.Duration{},
+		slices: map[string]*slice{}, dirty: map[string]*slice{}, scarce: map[Offer]time.Duration{},
+		refreshing: map[string]bool{}}
+}
+
+func (p *part) key() string { return "part/" + p.name }
+
+// keepLease holds this controller's lease at the state service.
+func (c *Core) keepLease() {
+	if c.leaseBusy || c.now < c.leaseRetry {
+		return
+	}
+	sent := c.now
+	if c.lease == 0 {
+		c.leaseBusy = true
+		c.call(HoldOp{c.cfg.Knobs.Hold}, func(r any) {
+			c.leaseBusy = false
+			res := r.(HoldResult)
+			c.store(sent, res.Outcome == OK)
+			if res.Outcome != OK {
+				c.leaseRetry = c.now + 500*time.Millisecond
+				return
+			}
+			c.lease, c.leaseSent = res.Lease, sent
+		})
+		return
+	}
+	if c.now < c.leaseSent+c.cfg.Knobs.Hold/4 {
+		return
+	}
+	c.leaseBusy = true
+	lease := c.lease
+	c.call(RenewOp{lease}, func(r any) {
+		c.leaseBusy = false
+		res := r.(RenewResult)
+		c.store(sent, res.Outcome == OK || res.Outcome == Refused)
+		switch res.Outcome {
+		case OK:
+			c.leaseSent = sent
+		case Refused:
+			// The lease has ended and with it the keys of my parts. Another
+			// controller may have held them since.
+			c.note(2, "lease ended", "lease", lease)
+			c.lease = 0
+			for _, p := range c.parts {
+				if p.mine {
+					c.lose(p, "lease ended")
+				}
+				p.known = false
+			}
+			c.partsView.loaded = false
+		default:
+			c.leaseRetry = c.now + 300*time.Millisecond
+		}
+	})
+}
+
+// follow keeps a view of a prefix: a listing first, then its changes. The
+// view is complete up to the moment the last answered call was sent; a call
+// that is still open proves nothing.
+func (c *Core) follow(v *view) {
+	if v.busy || c.now < v.nextAt {
+		return
+	}
+	v.busy = true
+	sent := c.now
+	if !v.loaded {
+		// The jobs' view starts at the present; whatever this controller needs
+		// of the past it reads key by key.
+		c.call(ListOp{"part/"}, func(r any) {
+			v.busy = false
+			res := r.(ListResult)
+			c.store(sent, res.Outcome == OK)
+			if res.Outcome != OK {
+				v.nextAt = c.now + 300*time.Millisecond
+				return
+			}
+			v.loaded, v.ledger, v.fresh, v.started = true, res.Ledger, sent, true
+			if v == &c.partsView {
+				c.listedParts(res.Items)
+			} else {
+				c.rereadLive()
+			}
+		})
+		return
+	}
+	wait := 2 * time.Second
+	c.call(FollowOp{v.prefix, v.ledger, wait}, func(r any) {
+		v.busy = false
+		res := r.(FollowResult)
+		switch res.Outcome {
+		case OK:
+			v.ledger = max(v.ledger, res.Ledger)
+			for _, n := range res.News {
+				c.news(n)
+			}
+			v.fresh = sent
+			c.store(sent, true)
+			if len(res.News) > 0 {
+				v.nextAt = c.now + 250*time.Millisecond
+			}
+		case Refused:
+			c.store(sent, true)
+			v.loaded = false
+		default:
+			c.store(sent, false)
+			v.nextAt = c.now + 300*time.Millisecond
+		}
+	})
+}
+
+func (c *Core) news(n Item) {
+	if zone, ok := strings.CutPrefix(n.Key, "part/"); ok {
+		c.partSeen(c.parts[c.zone(zone)], n.Value, n.Stamp)
+	} else if id, ok := strings.CutPrefix(n.Key, "job/"); ok && n.Value != nil {
+		c.learnJob(id, n.Value, n.Stamp)
+	}
+}
+
+func (c *Core) listedParts(items []Item) {
+	seen := map[string]bool{}
+	for _, it := range items {
+		zone := strings.TrimPrefix(it.Key, "part/")
+		seen[zone] = true
+		c.partSeen(c.parts[c.zone(zone)], it.Value, it.Stamp)
+	}
+	for _, p := range c.parts {
+		if !seen[p.name] && !p.claiming {
+			c.partSeen(p, nil, c.partsView.ledger)
+		}
+	}
+}
+
+// partSeen applies what the store says of a part. A deletion carries the
+// revision of the deletion.
+func (c *Core) partSeen(p *part, value []byte, stamp uint64) {
+	if stamp < p.stamp || p.claiming {
+		return
+	}
+	if value == nil {
+		if p.mine && stamp > p.token {
+			c.lose(p, "key removed")
+		}
+		if p.mine {
+			return
+		}
+		p.known = true
+		if p.owner != "" || p.freeSince == 0 {
+			p.freeSince = c.now
+		}
+		p.owner, p.stamp = "", 0
+		return
+	}
+	var v partValue
+	if json.Unmarshal(value, &v) != nil {
+		return
+	}
+	if p.mine && stamp > p.token {
+		c.lose(p, "claimed by "+v.Owner)
+	}
+	if p.owner != v.Owner {
+		p.missed = 0
+	}
+	p.known, p.owner, p.stamp, p.freeSince = true, v.Owner, stamp, 0
+}
+
+// lose ends ownership at once.
+func (c *Core) lose(p *part, why string) {
+	c.note(2, "part lost", "part", p.name, "token", p.token, "why", why)
+	*p = part{zone: p.zone, name: p.name, hosts: map[string]*host{}, gone: map[string]time.Duration{},
+		slices: map[string]*slice{}, dirty: map[string]*slice{}, scarce: map[Offer]time.Duration{},
+		refreshing: map[string]bool{}, hireSeq: p.hireSeq}
+}
+
+// keepParts claims free parts and hands parts home.
+func (c *Core) keepParts() {
+	if c.lease == 0 || !c.storeWell() {
+		return
+	}
+	for _, p := range c.parts {
+		switch {
+		case p.mine:
+			c.maybeYield(p)
+			if !p.loaded && !p.loading {
+				c.load(p)
+			}
+			if p.reclaimAt > 0 && c.now >= p.reclaimAt && p.loaded && !p.committing && !p.yielding {
+				p.reclaimAt = 0
+				c.claim(p)
+			}
+		case !p.known || p.claiming || c.now < p.retryAt:
+		case p.owner == c.cfg.Label:
+			// My own key from an earlier life: take it up again with a new
+			// revision, so that nothing the earlier life sent counts.
+			c.claim(p)
+		case p.owner == "" && c.now >= p.freeSince+c.claimDelay(p):
+			c.claim(p)
+		case p.owner != "" && c.ownerDead(p):
+			c.claim(p)
+		}
+	}
+}
+
+// home says whether a controller's own zone is the part's.
+func (c *Core) homeOf(p *part) (mine bool, other *peer) {
+	if c.cfg.Zone == p.name {
+		return true, nil
+	}
+	for _, q := range c.peers {
+		if q.Zone == p.name {
+			return false, q
+		}
+	}
+	return false, nil
+}
+
+// claimDelay is how long a free part is left to controllers with a better
+// reason to take it: its home first, then whoever owns the fewest.
+func (c *Core) claimDelay(p *part) time.Duration {
+	if mine, _ := c.homeOf(p); mine {
+		return 0
+	}
+	owned := 0
+	for _, q := range c.parts {
+		if q.mine || q.claiming {
+			owned++
+		}
+	}
+	return c.cfg.Knobs.Grace + time.Duration(owned)*700*time.Millisecond + time.Duration(c.rank())*200*time.Millisecond
+}
+
+func (c *Core) rank() int {
+	r := 0
+	for _, q := range c.peers {
+		if q.Label < c.cfg.Label {
+			r++
+		}
+	}
+	return r
+}
+
+// ownerDead says whether the owner by the store's view has been silent to
+// this controller and, by their word, to the others for so long that taking
+// its part early is better than waiting for its lease. The token makes that
+// safe: a live owner loses by it only its office.
+func (c *Core) ownerDead(p *part) bool {
+	q := c.peer(p.owner)
+	if q == nil {
+		return false
+	}
+	if c.now < q.heard+2500*time.Millisecond {
+		p.missed = 0
+		return false
+	}
+	if p.missed == 0 {
+		p.missed = c.now
+	}
+	return c.now >= p.missed+c.cfg.Knobs.Hold+c.claimDelay(p)
+}
+
+// claim takes a part, or raises the token of one already mine.
+func (c *Core) claim(p *part) {
+	value, _ := json.Marshal(partValue{c.cfg.Label})
+	p.claiming = true
+	again := p.mine
+	t := Txn{Guards: []Guard{{p.key(), p.stamp}}, Apply: []Set{{p.key(), value, c.lease}}}
+	if again {
+		p.committing = true
+	}
+	c.commit(t, true, func(res CommitResult) {
+		p.claiming = false
+		if again {
+			p.committing = false
+		}
+		switch {
+		case res.Outcome == OK:
+			c.claimed(p, res.Revision, again)
+			return
+		case res.Outcome == Refused && res.NoLease:
+			c.lease = 0
+		}
+		// Lost race, or nobody can tell: read what holds.
+		if again {
+			c.lose(p, "claim not confirmed")
+		}
+		p.known = false
+		p.retryAt = c.now + 200*time.Millisecond
+		c.rereadPart(p)
+	})
+}
+
+func (c *Core) rereadPart(p *part) {
+	c.read(p.key(), true, func(res ReadResult) {
+		if res.Outcome != OK {
+			p.retryAt = c.now + 500*time.Millisecond
+			c.partsView.loaded = false // the next listing settles it
+			return
+		}
+		if p.mine || p.claiming {
+			return
+		}
+		if !res.Found {
+			p.owner, p.stamp, p.known = "", 0, true
+			p.freeSince = c.now
+			return
+		}
+		p.known = true
+		c.partSeen(p, res.Item.Value, res.Item.Stamp)
+	})
+}
+
+func (c *Core) claimed(p *part, revision uint64, again bool) {
+	p.mine, p.known = true, true
+	p.owner, p.stamp, p.token, p.freeSince, p.missed = c.cfg.Label, revision, revision, 0, 0
+	if !again {
+		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
+		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
+		p.used = make([]Amount, len(c.limits))
+		p.committing = false
+		c.listAt = 0
+	}
+	c.note(1, "part claimed", "part", p.name, "token", p.token, "again", again)
+	for _, h := range p.hosts {
+		h.greetAt = 0
+	}
+	if !again {
+		c.load(p)
+	}
+}
+
+// load reads the part's slices and their jobs.
+func (c *Core) load(p *part) {
+	p.loading = true
+	token := p.token
+	valid := func() bool { return p.mine && p.token == token }
+	c.call(ListOp{"slice/" + p.name + "/"}, func(r any) {
+		if !valid() {
+			return
+		}
+		res := r.(ListResult)
+		if res.Outcome != OK {
+			p.loading = false
+			return
+		}
+		left := len(res.Items)
+		finish := func() {
+			p.loading, p.loaded, p.replan, p.loadedAt = false, true, true, c.now
+			c.note(1, "part loaded", "part", p.name, "token", p.token, "slices", len(p.slices))
+		}
+		if left == 0 {
+			finish()
+			return
+		}
+		failed := false
+		done := func() {
+			if left--; left > 0 || !valid() {
+				return
+			}
+			if failed {
+				p.loading = false
+				p.slices, p.dirty = map[string]*slice{}, map[string]*slice{}
+				p.used = make([]Amount, len(c.limits))
+				for _, h := range p.hosts {
+					h.tasks = map[TaskID]*task{}
+				}
+				return
+			}
+			finish()
+		}
+		for _, it := range res.Items {
+			id := it.Key[strings.LastIndexByte(it.Key, '/')+1:]
+			c.read("job/"+id, true, func(jr ReadResult) {
+				if valid() {
+					if jr.Outcome != OK || !jr.Found {
+						failed = true
+					} else {
+						c.learnJob(id, jr.Item.Value, jr.Item.Stamp)
+						c.adoptSlice(p, id, it.Value, it.Stamp)
+					}
+				}
+				done()
+			})
+		}
+	})
+}
+
+// maybeYield hands a part to its home controller once that one is steadily
+// back. The old owner stops first, then drops the key.
+func (c *Core) maybeYield(p *part) {
+	mine, home := c.homeOf(p)
+	if mine || home == nil || !p.loaded || p.committing || p.claiming || p.yielding {
+		return
+	}
+	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK
+	if !well {
+		p.homeUp = 0
+		return
+	}
+	if p.homeUp == 0 {
+		p.homeUp = c.now
+	}
+	if c.now < p.homeUp+5*time.Second || len(p.refreshing) > 0 {
+		return
+	}
+	p.yielding = true
+	c.note(1, "part handed home", "part", p.name, "token", p.token, "to", home.Label)
+	c.commit(Txn{Guards: []Guard{{p.key(), p.stamp}}, Apply: []Set{{Key: p.key()}}}, true, func(CommitResult) {
+		// Whatever the answer, the office is laid down; the key is read again.
+		name := p.name
+		c.lose(p, "handed home")
+		for i, q := range c.peers {
+			if q == home {
+				c.emit(Tell{i, Message{Boot: c.cfg.Boot, Freed: []string{name}}})
+			}
+		}
+		p.retryAt = c.now + c.cfg.Knobs.Grace
+		c.rereadPart(p)
+	})
+}
+
+// storeWell says whether the state service answered lately.
+func (c *Core) storeWell() bool {
+	return c.storeSeen && c.now < c.storeOK+4*time.Second
+}
+
+// fresh is the moment up to which every accepted withdrawal is known here:
+// by my own view of job/, or by word of a controller whose view is newer.
+func (c *Core) fresh() (time.Duration, bool) {
+	return c.jobsView.fresh, c.jobsView.started
+}
+
+// mayStart says whether work may be started: only while withdrawals arrive.
+func (c *Core) mayStart() bool {
+	f, ok := c.fresh()
+	return ok && c.now < f+6*time.Second
+}
+
+// mayAnswer says whether workers may still be answered. A withdrawal may have
+// been accepted elsewhere right after fresh; once this controller falls
+// silent, its workers' leases end within lease_s, and that must be over
+// cancel_s after the withdrawal, with room for drifting clocks and for the
+// time a report was under way.
+func (c *Core) mayAnswer() bool {
+	f, ok := c.fresh()
+	margin := 2*time.Second + c.cfg.Cancel/100
+	return ok && c.now < f+c.cfg.Cancel-c.cfg.Lease-margin
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"strings"
+	"time"
+)
+
+// peer is another controller as seen from here.
+type peer struct {
+	Peer
+	boot     uint64
+	heard    time.Duration
+	gossip   *Gossip
+	gossipAt time.Duration
+}
+
+func (c *Core) peer(label string) *peer {
+	for _, p := range c.peers {
+		if p.Label == label {
+			return p
+		}
+	}
+	return nil
+}
+
+func (c *Core) tellAll(m Message) {
+	m.Boot = c.cfg.Boot
+	for i := range c.peers {
+		c.emit(Tell{i, m})
+	}
+}
+
+// hear takes a message of another controller.
+func (c *Core) hear(from int, m Message) {
+	p := c.peers[from]
+	p.heard, p.boot = c.now, m.Boot
+	for _, it := range m.Jobs {
+		c.learnJob(strings.TrimPrefix(it.Key, "job/"), it.Value, it.Stamp)
+	}
+	for _, it := range m.Slices {
+		zone, id, ok := strings.Cut(strings.TrimPrefix(it.Key, "slice/"), "/")
+		if !ok {
+			continue
+		}
+		if z := c.zones.known(zone); z >= 0 && c.parts[z].mine && c.parts[z].loaded {
+			c.sliceSeen(c.parts[z], id, it.Value, it.Stamp)
+		}
+	}
+	for _, zone := range m.Freed {
+		if z := c.zones.known(zone); z >= 0 && !c.parts[z].mine && !c.parts[z].claiming {
+			c.rereadPart(c.parts[z])
+		}
+	}
+	for _, team := range m.Grants {
+		if t := c.teams.known(team); t >= 0 {
+			for _, q := range c.parts {
+				if q.mine && q.loaded {
+					c.giveBack(q, t, true)
+				}
+			}
+		}
+	}
+	if m.Gossip != nil {
+		c.hearGossip(p, m.Gossip)
+	}
+}
+
+func (c *Core) hearGossip(p *peer, g *Gossip) {
+	p.gossip, p.gossipAt = g, c.now
+	for i := range g.Parts {
+		v := &g.Parts[i]
+		z := c.zone(v.Zone)
+		q := c.parts[z]
+		if q.mine {
+			if v.Token > q.token {
+				c.lose(q, "a peer shows a higher token")
+				c.partsView.loaded = false
+			}
+			continue
+		}
+		if q.view != nil && q.view.Token > v.Token {
+			continue
+		}
+		q.view, q.viewAt, q.devices = v, c.now, nil
+		if v.Token > q.stamp && !q.claiming {
+			q.owner, q.stamp, q.known, q.freeSince = p.Label, v.Token, true, 0
+		}
+		c.shown[v.Zone] = v.Show
+	}
+}
+
+// gossip tells the others what this controller owns and sees.
+func (c *Core) gossip() {
+	if c.now < c.gossipAt {
+		return
+	}
+	c.gossipAt = c.now + 500*time.Millisecond
+	g := &Gossip{StoreOK: c.storeWell(), AgeMs: -1}
+	if f, ok := c.fresh(); ok {
+		g.Ledger, g.AgeMs = c.jobsView.ledger, (c.now - f).Milliseconds()
+	}
+	for _, p := range c.parts {
+		if p.mine && p.loaded && !p.yielding {
+			v := c.viewOf(p)
+			c.shown[p.name] = v.Show
+			g.Parts = append(g.Parts, v)
+		}
+	}
+	c.tellAll(Message{Gossip: g})
+}
+
+func (c *Core) viewOf(p *part) PartView {
+	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
+	for _, h := range p.hosts {
+		if h.typ < 0 || !h.usable(c.now) && h.state != booting {
+			continue
+		}
+		hv := HostView{Name: h.name, Type: c.types[h.typ].Name, Spot: h.spot, FetchAt: h.fetchEnd.Seconds() - c.now.Seconds()}
+		if h.state == booting {
+			hv.Up = seconds(max(h.eta-c.now, time.Second))
+		}
+		for _, t := range h.tasks {
+			hv.Uses = append(hv.Uses, UseView{seconds(c.expectedEnd(t) - c.now), t.need})
+		}
+		for img := range h.images {
+			hv.Images = append(hv.Images, c.images.list[img])
+		}
+		v.Hosts = append(v.Hosts, hv)
+	}
+	for o, until := range p.scarce {
+		if c.now < until {
+			v.Scarce = append(v.Scarce, o)
+		}
+	}
+	for id, s := range p.slices {
+		if s.job.standing == Pending {
+			v.Show = append(v.Show, Shown{id, s.done.count(), s.running()})
+		}
+	}
+	for t, a := range p.used {
+		if a.Cores > 0 || a.Cards > 0 {
+			v.Used[c.limits[t].Name] = a
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/core/planning.go
@@ -0,0 +1,448 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"roadcleat/internal/plan"
+)
+
+// device is a machine as the programme sees it, and the zone it is in.
+type device struct {
+	*plan.Device
+	zone int
+	host *host // nil: booting elsewhere, another part's, or yet to be hired
+}
+
+// need is work that finds no machine soon.
+type need struct {
+	job   *job
+	tasks int
+}
+
+// work does what is due for a part: plans, records, sends.
+func (c *Core) work(p *part) {
+	if p.yielding {
+		return
+	}
+	c.refresh(p)
+	if c.now >= p.planAt || p.replan {
+		if c.now >= p.planAt {
+			c.sweep(p)
+		}
+		p.planAt = c.now + time.Second
+		if p.replan || len(p.shortage) > 0 {
+			p.replan = false
+			c.plan(p)
+		}
+		c.size(p)
+	}
+	c.record(p)
+	for _, h := range p.hosts {
+		c.flushOrders(p, h)
+	}
+}
+
+// sweep looks for what events alone would miss.
+func (c *Core) sweep(p *part) {
+	for id, s := range p.slices {
+		switch {
+		case s.job.standing != Pending:
+			if len(s.tasks) == 0 {
+				p.dirty[id] = s
+			}
+		case s.complete():
+			p.dirty[id] = s
+		case len(s.waiting) > 0:
+			p.replan = true
+		}
+	}
+	for t := range c.limits {
+		if c.giveBack(p, t, false) {
+			return
+		}
+	}
+	for _, h := range p.hosts {
+		c.drain(p, h)
+	}
+}
+
+// drain frees a machine that will be taken or is not fit: what cannot end in
+// time is stopped at once and starts again elsewhere.
+func (c *Core) drain(p *part, h *host) {
+	if h.state != up || h.recall == 0 && !h.failed {
+		return
+	}
+	for _, t := range h.tasks {
+		if t.phase != onHost || t.halting {
+			continue
+		}
+		j := t.job()
+		if h.failed || j == nil || c.expectedEnd(t) > h.recall || j.spec.Service {
+			leeway := 0.0
+			if j != nil && j.spec.Checkpoint > 0 && t.state == Running {
+				leeway = j.spec.Save + 1
+			}
+			c.halt(p, t, leeway)
+		}
+	}
+}
+
+// step is a job's tasks as the programme's step.
+func (c *Core) step(j *job) *plan.Step {
+	return &plan.Step{Tasks: 1, Need: j.spec.Need.plan(), Comp: c.estimate(j), Image: j.image,
+		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return c.allowedOn(j, kind) }}
+}
+
+// hostDevice is a machine of a part owned here.
+func (c *Core) hostDevice(h *host) device {
+	t := &c.types[h.typ]
+	now := seconds(c.now)
+	d := &plan.Device{Kind: c.kind(h.part.zone, h.typ, h.spot), Total: t.Total.plan(), Up: now,
+		SPerGB: c.fetchRate(h.typ), Slow: h.slow, FetchAt: seconds(h.fetchEnd),
+		Images: make(map[int]float64, len(h.images)+1), Uses: make([]plan.Use, 0, len(h.tasks)+4)}
+	if h.state == booting {
+		d.Up = max(seconds(h.eta), now+1)
+	}
+	for img := range h.images {
+		d.Images[img] = now
+	}
+	for img, at := range h.fetching {
+		d.Images[img] = max(seconds(at), now+0.2)
+	}
+	for _, t := range h.tasks {
+		d.Uses = append(d.Uses, plan.Use{Start: 0, End: seconds(c.expectedEnd(t)), Amount: t.need.plan()})
+	}
+	return device{d, h.part.zone, h}
+}
+
+// ready lists the slices with waiting tasks in the order they are served:
+// teams within their guarantee first, then by priority, then by arrival.
+func (c *Core) ready(p *part) []*slice {
+	var list []*slice
+	for _, s := range p.slices {
+		if len(s.waiting) > 0 && s.job.standing == Pending && s.job.team >= 0 {
+			list = append(list, s)
+		}
+	}
+	within := make([]bool, len(c.limits))
+	for t := range c.limits {
+		used, g := c.teamUse(t), c.limits[t].Guarantee
+		within[t] = used.Cores < g.Cores || used.Cards < g.Cards
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a].job, list[b].job
+		if wx, wy := within[x.team], within[y.team]; x.spec.Priority == y.spec.Priority && wx != wy {
+			return wx
+		}
+		if x.spec.Priority != y.spec.Priority {
+			return x.spec.Priority < y.spec.Priority
+		}
+		if x.born != y.born {
+			return x.born < y.born
+		}
+		return x.id < y.id
+	})
+	return list
+}
+
+// teamUse is what a team uses in all parts, as far as known here.
+func (c *Core) teamUse(team int) Amount {
+	var sum Amount
+	for _, p := range c.parts {
+		if p.mine && p.loaded {
+			sum = sum.plus(p.used[team], 1)
+		} else if p.view != nil {
+			sum = sum.plus(p.view.Used[c.limits[team].Name], 1)
+		}
+	}
+	return sum
+}
+
+// soon is how far from now a planned start may lie to count as now.
+const soon = 0.05
+
+// plan runs the programme over the part's ready jobs. Tasks whose planned
+// machine has room now are placed; the others stay ready and are planned
+// again as soon as anything changes.
+func (c *Core) plan(p *part) {
+	p.shortage = p.shortage[:0]
+	if !c.mayStart() || len(c.types) == 0 {
+		return
+	}
+	ready := c.ready(p)
+	if len(ready) == 0 {
+		return
+	}
+	c.stats.Plans++
+	var all []device
+	var devices []*plan.Device
+	for _, h := range p.hosts {
+		if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+			d := c.hostDevice(h)
+			all, devices = append(all, d), append(devices, d.Device)
+		}
+	}
+	now := seconds(c.now)
+	for _, s := range ready {
+		j := s.job
+		quota := c.room(p, j.team, j.spec.Need)
+		if quota == 0 && c.quotas[j.team].known {
+			c.wantGrants(j.team)
+		}
+		// Placed tasks are listed one by one in the slice's value.
+		most := max(c.cfg.ValueBytes/64-len(s.tasks), 0)
+		n := min(s.waiting.count(), quota, most, 128)
+		if c.now < j.holdTo {
+			continue
+		}
+		var starts []plan.Placement
+		placed := plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) { starts = append(starts, pl) })
+		late := n - placed
+		ids := s.waiting.first(n)
+		for k, pl := range starts {
+			h := all[pl.Device].host
+			if pl.Start > now+soon || h.state != up {
+				late++
+				continue
+			}
+			c.place(p, s, ids[k], h, pl.Finish)
+		}
+		if late > 0 {
+			p.shortage = append(p.shortage, need{j, late})
+		}
+	}
+}
+
+// place books a task on a host; it is launched once that is durable.
+func (c *Core) place(p *part, s *slice, i int, h *host, finish float64) {
+	j := s.job
+	s.next++
+	t := &task{id: TaskID{j.id, i}, slice: s, host: h, attempt: s.next, phase: placing,
+		need: j.spec.Need, team: j.team, since: c.now, fetchFrom: c.now}
+	if h.tasks[t.id] != nil {
+		return // an earlier attempt is still on its way off this host
+	}
+	s.waiting.remove(i)
+	s.tasks[i] = t
+	c.occupy(p, t)
+	if j.image >= 0 {
+		if _, has := h.images[j.image]; has {
+			h.images[j.image] = c.now
+		} else if _, on := h.fetching[j.image]; !on {
+			at := max(c.now, h.fetchEnd) + duration(j.spec.ImageGB*c.fetchRate(h.typ))
+			h.fetching[j.image], h.fetchEnd = at, at
+		}
+	}
+	p.dirty[j.id] = s
+}
+
+// viewDevices is another part's machines by its owner's last word.
+func (c *Core) viewDevices(p *part) []device {
+	if p.devices != nil || p.view == nil || c.now > p.viewAt+10*time.Second {
+		return p.devices
+	}
+	now := seconds(p.viewAt)
+	for i := range p.view.Hosts {
+		v := &p.view.Hosts[i]
+		typ := c.typeIdx.known(v.Type)
+		if typ < 0 {
+			continue
+		}
+		d := &plan.Device{Kind: c.kind(p.zone, typ, v.Spot), Total: c.types[typ].Total.plan(), Up: now + v.Up,
+			SPerGB: c.fetchRate(typ), Slow: 1, FetchAt: now + v.FetchAt, Images: map[int]float64{}}
+		for _, img := range v.Images {
+			d.Images[c.images.of(img)] = 0
+		}
+		for _, u := range v.Uses {
+			d.Uses = append(d.Uses, plan.Use{Start: 0, End: now + u.For, Amount: u.Amount.plan()})
+		}
+		p.devices = append(p.devices, device{d, p.zone, nil})
+	}
+	return p.devices
+}
+
+// market is one imagined machine per zone, type and kind: what could be hired.
+func (c *Core) market(p *part) []device {
+	var out []device
+	for t := range c.types {
+		typ := &c.types[t]
+		if !contains(typ.Zones, p.name) {
+			continue
+		}
+		for _, spot := range []bool{true, false} {
+			wait := typ.BootS
+			if c.isScarce(p, Offer{typ.Name, spot}) {
+				wait += 90
+			}
+			if !p.mine && (p.view == nil || c.now > p.viewAt+3*time.Second) {
+				wait += 15 // nobody is known to look after that part now
+			}
+			total := typ.Total.plan()
+			for i := 0; i < 2; i++ {
+				out = append(out, device{&plan.Device{Kind: c.kind(p.zone, t, spot), Total: total,
+					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1, Images: map[int]float64{}}, p.zone, nil})
+			}
+		}
+	}
+	return out
+}
+
+func (c *Core) isScarce(p *part, o Offer) bool {
+	if p.mine {
+		return c.now < p.scarce[o]
+	}
+	if p.view != nil {
+		for _, s := range p.view.Scarce {
+			if s == o {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// deal splits a new job over the parts: each task to the part of its
+// earliest-finish machine, as the job's limits on zones allow.
+func (c *Core) deal(spec *Spec) map[string]ranges {
+	j := &job{id: spec.ID, spec: *spec, image: -1, class: c.classes.of(spec.Class), team: c.teams.known(spec.Team)}
+	if spec.Image != "" {
+		j.image = c.images.of(spec.Image)
+	}
+	step := c.step(j)
+	byZone := make([][]device, len(c.parts))
+	for z, p := range c.parts {
+		if spec.Zone != "" && p.name != spec.Zone || !c.zoneHolds(j, p) {
+			continue
+		}
+		if p.mine && p.loaded {
+			if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
+				p.devices, p.devicesAt = nil, c.now
+				for _, h := range p.hosts {
+					if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+						p.devices = append(p.devices, c.hostDevice(h))
+					}
+				}
+			}
+			byZone[z] = p.devices
+		} else {
+			byZone[z] = c.viewDevices(p)
+		}
+		byZone[z] = append(byZone[z][:len(byZone[z]):len(byZone[z])], c.market(p)...)
+	}
+	counts := make([]int, len(c.parts))
+	now := seconds(c.now)
+	if spec.OneZone {
+		counts[c.bestZone(step, spec.Tasks, byZone, now)] = spec.Tasks
+	} else {
+		most := spec.Tasks
+		if spec.Apart {
+			most = (spec.Tasks + 1) / 2
+		}
+		c.spreadOver(step, spec.Tasks, most, byZone, counts, now)
+	}
+	split := map[string]ranges{}
+	at := 0
+	for z, n := range counts {
+		if n > 0 {
+			split[c.parts[z].name] = ranges{{at, at + n}}
+			at += n
+		}
+	}
+	return split
+}
+
+// zoneHolds says whether the zone has a machine type that the job allows.
+func (c *Core) zoneHolds(j *job, p *part) bool {
+	for t := range c.types {
+		typ := &c.types[t]
+		if contains(typ.Zones, p.name) && j.spec.Need.plan().Within(typ.Total.plan()) &&
+			c.allowedOn(j, c.kind(p.zone, t, false)) {
+			return true
+		}
+	}
+	return false
+}
+
+// planned is how many tasks of a large job are dealt one by one; the rest
+// follows their proportions.
+const planned = 64
+
+func (c *Core) bestZone(step *plan.Step, n int, byZone [][]device, now float64) int {
+	best, at := -1, 0.0
+	for z, ds := range byZone {
+		if len(ds) == 0 {
+			continue
+		}
+		var devices []*plan.Device
+		for _, d := range ds {
+			devices = append(devices, d.Device)
+		}
+		sched := plan.Solve([]plan.Step{{Tasks: min(n, planned), Need: step.Need, Comp: step.Comp, Image: step.Image,
+			ImageGB: step.ImageGB, Allowed: step.Allowed}}, devices, now, c.cfg.Knobs.Frontier)
+		if sched.Complete && (best < 0 || sched.Finish < at) {
+			best, at = z, sched.Finish
+		}
+	}
+	if best < 0 {
+		best = max(c.zones.known(c.cfg.Zone), 0)
+		for z, ds := range byZone {
+			if len(ds) > 0 {
+				best = z
+			}
+		}
+	}
+	return best
+}
+
+func (c *Core) spreadOver(step *plan.Step, n, most int, byZone [][]device, counts []int, now float64) {
+	open := make([]bool, len(byZone))
+	for z := range byZone {
+		open[z] = len(byZone[z]) > 0
+	}
+	left, sample := n, min(n, planned)
+	for sample > 0 {
+		var devices []*plan.Device
+		var zones []int
+		for z, ds := range byZone {
+			if !open[z] {
+				continue
+			}
+			for _, d := range ds {
+				devices, zones = append(devices, d.Device), append(zones, z)
+			}
+		}
+		got := -1
+		plan.Spread(step, 1, devices, now, func(pl plan.Placement) { got = zones[pl.Device] })
+		if got < 0 {
+			break
+		}
+		counts[got]++
+		sample--
+		left--
+		if counts[got] >= most {
+			open[got] = false
+		}
+	}
+	// The rest of a large job in the same proportions, within the limit.
+	dealt := n - left
+	for z := range counts {
+		if dealt > 0 && left > 0 && counts[z] > 0 {
+			more := min(left, (n-dealt)*counts[z]/dealt, most-counts[z])
+			counts[z] += more
+			left -= more
+		}
+	}
+	for z := range counts {
+		if len(byZone[z]) > 0 || dealt == 0 {
+			more := min(left, most-counts[z])
+			counts[z] += more
+			left -= more
+		}
+	}
+	for z := range counts {
+		more := min(left, most-counts[z])
+		counts[z] += more
+		left -= more
+	}
+}
--- /dev/null
+++ b/internal/core/quota.go
@@ -0,0 +1,160 @@
+package core
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+)
+
+// quota is a team's grants per part as the state service holds them. Their
+// sum never passes the team's limit, and a part never uses more than its own.
+type quota struct {
+	team   string
+	known  bool
+	busy   bool
+	stamp  uint64
+	grants map[string]grant
+	askAt  time.Duration
+	idleAt map[string]time.Duration
+}
+
+type grant struct {
+	Cores float64 `json:"c"`
+	Cards float64 `json:"g"`
+}
+
+func (q *quota) key() string { return "quota/" + q.team }
+
+func (q *quota) sum() grant {
+	var s grant
+	for _, g := range q.grants {
+		s.Cores += g.Cores
+		s.Cards += g.Cards
+	}
+	return s
+}
+
+// learn applies what the store holds.
+func (q *quota) learn(found bool, value []byte, stamp uint64) {
+	if q.known && stamp < q.stamp && found {
+		return
+	}
+	q.known, q.stamp, q.grants = true, stamp, map[string]grant{}
+	if !found {
+		q.stamp = 0
+		return
+	}
+	if json.Unmarshal(value, &q.grants) != nil {
+		q.known = false
+	}
+}
+
+func (c *Core) readQuota(q *quota) {
+	if q.busy {
+		return
+	}
+	q.busy = true
+	c.read(q.key(), true, func(res ReadResult) {
+		q.busy = false
+		if res.Outcome == OK {
+			q.learn(res.Found, res.Item.Value, res.Item.Stamp)
+			for _, p := range c.parts {
+				p.replan = true
+			}
+		}
+	})
+}
+
+// room is how many more tasks of need the team may run in the part: within
+// the part's grant and what nobody holds.
+func (c *Core) room(p *part, team int, need Amount) int {
+	q, lim := c.quotas[team], c.limits[team].Limit
+	if !q.known {
+		c.readQuota(q)
+		return 0
+	}
+	sum, mine, used := q.sum(), q.grants[p.name], p.used[team]
+	n := math.MaxInt32
+	if need.Cores > 0 {
+		n = min(n, int((mine.Cores+lim.Cores-sum.Cores-used.Cores+1e-6)/need.Cores))
+	}
+	if need.Cards > 0 {
+		n = min(n, int((mine.Cards+lim.Cards-sum.Cards-used.Cards+1e-6)/need.Cards))
+	}
+	return max(n, 0)
+}
+
+// grow returns the part's grant large enough for what it uses, in chunks, or
+// false when it is large enough already.
+func (c *Core) grow(p *part, team int) (map[string]grant, bool) {
+	q, lim := c.quotas[team], c.limits[team].Limit
+	mine, used, sum := q.grants[p.name], p.used[team], q.sum()
+	if used.Cores <= mine.Cores+1e-6 && used.Cards <= mine.Cards+1e-6 {
+		return nil, false
+	}
+	want := mine
+	if used.Cores > mine.Cores {
+		want.Cores = min(used.Cores+lim.Cores/16, mine.Cores+lim.Cores-sum.Cores)
+	}
+	if used.Cards > mine.Cards {
+		want.Cards = min(used.Cards+lim.Cards/16, mine.Cards+lim.Cards-sum.Cards)
+	}
+	next := map[string]grant{}
+	for z, g := range q.grants {
+		next[z] = g
+	}
+	next[p.name] = want
+	return next, true
+}
+
+// giveBack returns the part's idle grant of a team: at once when another part
+// asks for it, otherwise after it has been idle for a while.
+func (c *Core) giveBack(p *part, team int, now bool) bool {
+	q := c.quotas[team]
+	if !q.known || q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
+		return false
+	}
+	mine, used, lim := q.grants[p.name], p.used[team], c.limits[team].Limit
+	if q.idleAt == nil {
+		q.idleAt = map[string]time.Duration{}
+	}
+	if mine.Cores-used.Cores <= 1e-6 && mine.Cards-used.Cards <= 1e-6 ||
+		!now && mine.Cores-used.Cores <= lim.Cores/8 && mine.Cards-used.Cards <= lim.Cards/8 {
+		delete(q.idleAt, p.name)
+		return false
+	}
+	if _, idle := q.idleAt[p.name]; !idle {
+		q.idleAt[p.name] = c.now
+	}
+	if !now && c.now < q.idleAt[p.name]+8*time.Second {
+		return false
+	}
+	delete(q.idleAt, p.name)
+	next := map[string]grant{}
+	for z, g := range q.grants {
+		next[z] = g
+	}
+	if next[p.name] = (grant{used.Cores, used.Cards}); used.Cores <= 1e-6 && used.Cards <= 1e-6 {
+		delete(next, p.name)
+	}
+	value, _ := json.Marshal(next)
+	w := &writing{part: p, quotas: map[*quota]map[string]grant{q: next}}
+	w.txn = Txn{Guards: []Guard{{p.key(), p.stamp}, {q.key(), q.stamp}}, Apply: []Set{{Key: q.key(), Value: value}}}
+	c.write(w)
+	return true
+}
+
+// wantGrants asks the other parts for idle grants of a team.
+func (c *Core) wantGrants(team int) {
+	q := c.quotas[team]
+	if c.now < q.askAt {
+		return
+	}
+	q.askAt = c.now + time.Second
+	c.tellAll(Message{Grants: []string{q.team}})
+	for _, p := range c.parts {
+		if p.mine && p.loaded && c.giveBack(p, team, true) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/slices.go
@@ -0,0 +1,512 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+)
+
+// slice is a part's tasks of a job.
+type slice struct {
+	job     *job
+	stamp   uint64
+	waiting ranges
+	done    ranges
+	tasks   map[int]*task   // on a machine, or on the way there
+	settled map[int]outcome // ended for certain, not yet recorded
+	next    uint64          // highest attempt given out
+	checkAt time.Duration   // when to look again whether the whole job is done
+	busy    bool
+}
+
+type outcome struct {
+	attempt uint64
+	done    bool
+}
+
+// sliceValue is a slice as the state service holds it: every task of it is
+// waiting, done or placed.
+type sliceValue struct {
+	Waiting ranges   `json:"w,omitempty"`
+	Done    ranges   `json:"d,omitempty"`
+	Placed  []placed `json:"p,omitempty"`
+	Next    uint64   `json:"n,omitempty"`
+}
+
+type placed struct {
+	Index   int    `json:"i"`
+	Host    string `json:"h"`
+	Attempt uint64 `json:"a"`
+}
+
+func sliceKey(zone, job string) string { return "slice/" + zone + "/" + job }
+
+func (s *slice) complete() bool { return len(s.waiting) == 0 && len(s.tasks) == 0 }
+
+func (s *slice) running() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.state == Running || t.state == Saving {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *slice) value() []byte {
+	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next}
+	for i, t := range s.tasks {
+		v.Placed = append(v.Placed, placed{i, t.host.name, t.attempt})
+	}
+	b, _ := json.Marshal(v)
+	return b
+}
+
+// adoptSlice takes a slice that this controller has no memory of.
+func (c *Core) adoptSlice(p *part, id string, value []byte, stamp uint64) {
+	j := c.jobs[id]
+	if j == nil {
+		s, over := c.final[id]
+		if !over {
+			return
+		}
+		j = &job{id: id, standing: s, team: -1, image: -1, spec: Spec{ID: id}}
+	}
+	if p.slices[id] != nil {
+		return
+	}
+	s := &slice{job: j, tasks: map[int]*task{}, settled: map[int]outcome{}}
+	p.slices[id] = s
+	c.reconcile(p, s, value, stamp)
+	if j.standing != Pending {
+		c.endSlice(p, s)
+	}
+}
+
+// sliceSeen applies a slice's key as read or told.
+func (c *Core) sliceSeen(p *part, id string, value []byte, stamp uint64) {
+	s := p.slices[id]
+	switch {
+	case s == nil && value != nil:
+		c.adoptSlice(p, id, value, stamp)
+	case s == nil:
+		// Neither here nor there.
+	case value == nil:
+		// The job is over, or all of the slice went elsewhere.
+		for _, t := range s.tasks {
+			c.makeStray(p, t)
+		}
+		delete(p.slices, id)
+		delete(p.dirty, id)
+	case stamp == s.stamp:
+		for _, t := range s.tasks {
+			if t.phase == placing {
+				c.unplace(p, t)
+			}
+		}
+	case stamp > s.stamp:
+		c.reconcile(p, s, value, stamp)
+	}
+	p.replan = true
+}
+
+// reconcile makes memory agree with the store's slice while it keeps what was
+// proven since and is not yet recorded.
+func (c *Core) reconcile(p *part, s *slice, value []byte, stamp uint64) {
+	var v sliceValue
+	if json.Unmarshal(value, &v) != nil {
+		c.note(2, "slice unreadable", "job", s.job.id, "part", p.name)
+		return
+	}
+	old := s.tasks
+	s.stamp, s.waiting, s.done, s.next = stamp, v.Waiting.clone(), v.Done.clone(), max(s.next, v.Next)
+	s.tasks = map[int]*task{}
+	inStore := map[int]bool{}
+	for _, pl := range v.Placed {
+		inStore[pl.Index] = true
+		s.next = max(s.next, pl.Attempt)
+		if o, ok := s.settled[pl.Index]; ok && o.attempt >= pl.Attempt {
+			if o.done {
+				s.done.add(pl.Index)
+			} else {
+				s.waiting.add(pl.Index)
+			}
+			p.dirty[s.job.id] = s
+			continue
+		}
+		if t := old[pl.Index]; t != nil && t.attempt == pl.Attempt {
+			s.tasks[pl.Index] = t
+			if t.phase == placing {
+				c.placedNow(p, t)
+			}
+			continue
+		}
+		h := c.hostNamed(p, pl.Host)
+		t := &task{id: TaskID{s.job.id, pl.Index}, slice: s, host: h, attempt: pl.Attempt, phase: onHost,
+			inherited: true, need: s.job.spec.Need, team: s.job.team, since: c.now}
+		if h.tasks[t.id] == nil {
+			c.occupy(p, t)
+			s.tasks[pl.Index] = t
+		}
+	}
+	for i, t := range old {
+		if s.tasks[i] == t {
+			continue
+		}
+		if t.phase == placing {
+			c.vacate(p, t)
+		} else {
+			c.makeStray(p, t)
+		}
+	}
+	for i, o := range s.settled {
+		if inStore[i] {
+			continue
+		}
+		if o.done && s.waiting.has(i) {
+			s.waiting.remove(i)
+			s.done.add(i)
+			p.dirty[s.job.id] = s
+			continue
+		}
+		delete(s.settled, i)
+	}
+	if s.complete() {
+		p.dirty[s.job.id] = s
+	}
+	p.replan = true
+}
+
+// endSlice winds a slice of a finished job up: what is on machines is
+// stopped, and the key goes once nothing is.
+func (c *Core) endSlice(p *part, s *slice) {
+	s.waiting = nil
+	for _, t := range s.tasks {
+		if t.phase == onHost {
+			c.halt(p, t, 0)
+		}
+	}
+	p.dirty[s.job.id] = s
+}
+
+// writing is a transaction of a part's owner under way.
+type writing struct {
+	part    *part
+	token   uint64
+	txn     Txn
+	slices  map[string]*slice
+	settled map[*slice]map[int]outcome
+	placing []*task
+	quotas  map[*quota]map[string]grant
+	done    []*job
+	news    []Item
+	drops   []string
+}
+
+// write sends an owner's transaction; the part does one at a time.
+func (c *Core) write(w *writing) {
+	p := w.part
+	w.token = p.token
+	p.committing = true
+	c.commit(w.txn, true, func(res CommitResult) {
+		if p.mine && p.token == w.token {
+			c.wrote(w, res)
+		}
+	})
+}
+
+func (c *Core) wrote(w *writing, res CommitResult) {
+	p := w.part
+	switch res.Outcome {
+	case OK:
+		p.committing = false
+		for q, g := range w.quotas {
+			if res.Revision > q.stamp {
+				q.stamp, q.grants = res.Revision, g
+			}
+		}
+		for id, s := range w.slices {
+			s.stamp = max(s.stamp, res.Revision)
+			for i, o := range w.settled[s] {
+				if s.settled[i] == o {
+					delete(s.settled, i)
+				}
+			}
+			if s.complete() && len(s.settled) == 0 && s.job.standing == Pending {
+				p.dirty[id] = s
+			}
+		}
+		for _, t := range w.placing {
+			if t.phase == placing {
+				c.placedNow(p, t)
+			}
+		}
+		for _, j := range w.done {
+			c.note(1, "job done", "job", j.id, "part", p.name, "token", p.token)
+			c.finalise(j.id, Complete)
+		}
+		for _, id := range w.drops {
+			delete(p.slices, id)
+			delete(p.dirty, id)
+		}
+		if len(w.news) > 0 {
+			for i := range w.news {
+				w.news[i].Stamp = res.Revision
+			}
+			c.tellAll(Message{Jobs: w.news})
+		}
+		p.replan = true
+	case Refused:
+		c.stats.Conflicts++
+		c.note(0, "transaction refused", "part", p.name, "token", p.token, "keys", res.Failed)
+		c.takeBack(w)
+		for _, k := range res.Failed {
+			p.refreshing[k] = false
+		}
+		if len(res.Failed) == 0 {
+			p.committing = false
+			p.retryAt = c.now + 300*time.Millisecond
+		}
+	case NotSent:
+		c.takeBack(w)
+		p.committing = false
+		p.retryAt = c.now + 300*time.Millisecond
+	default:
+		// Nobody can tell: what holds is read again before anything else. The
+		// placements stay booked until then and are not launched.
+		for _, g := range w.txn.Guards {
+			p.refreshing[g.Key] = false
+		}
+		c.markAgain(w)
+	}
+	c.refresh(p)
+}
+
+// takeBack undoes the placements of a transaction that was not carried out.
+func (c *Core) takeBack(w *writing) {
+	for _, t := range w.placing {
+		if t.phase == placing {
+			c.unplace(w.part, t)
+		}
+	}
+	c.markAgain(w)
+	w.part.replan = true
+}
+
+// markAgain has everything a transaction should have recorded tried again.
+func (c *Core) markAgain(w *writing) {
+	for id := range w.slices {
+		if s := w.part.slices[id]; s != nil {
+			w.part.dirty[id] = s
+		}
+	}
+	for _, id := range w.drops {
+		if s := w.part.slices[id]; s != nil {
+			w.part.dirty[id] = s
+		}
+	}
+}
+
+// refresh reads keys again whose state is in doubt; the part commits nothing
+// until all are known.
+func (c *Core) refresh(p *part) {
+	if len(p.refreshing) == 0 || c.now < p.retryAt {
+		return
+	}
+	token := p.token
+	for key, busy := range p.refreshing {
+		if busy {
+			continue
+		}
+		p.refreshing[key] = true
+		c.read(key, true, func(res ReadResult) {
+			if !p.mine || p.token != token {
+				return
+			}
+			if res.Outcome != OK {
+				p.refreshing[key] = false
+				p.retryAt = c.now + 300*time.Millisecond
+				return
+			}
+			c.refreshed(p, key, res)
+			if !p.mine || p.token != token {
+				return
+			}
+			delete(p.refreshing, key)
+			if len(p.refreshing) == 0 {
+				p.committing = false
+				p.replan = true
+			}
+		})
+	}
+}
+
+func (c *Core) refreshed(p *part, key string, res ReadResult) {
+	kind, rest, _ := strings.Cut(key, "/")
+	switch kind {
+	case "part":
+		if !res.Found || res.Item.Stamp != p.token {
+			c.lose(p, "claim has changed")
+			c.rereadPart(p)
+		}
+	case "job":
+		if res.Found {
+			c.learnJob(rest, res.Item.Value, res.Item.Stamp)
+		}
+	case "quota":
+		if t := c.teams.known(rest); t >= 0 {
+			c.quotas[t].learn(res.Found, res.Item.Value, res.Item.Stamp)
+		}
+	case "slice":
+		zone, id, _ := strings.Cut(rest, "/")
+		if zone != p.name {
+			return
+		}
+		if !res.Found {
+			c.sliceSeen(p, id, nil, 0)
+		} else {
+			c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
+		}
+	}
+}
+
+// record gathers what must be made durable into one transaction: placements
+// just planned, ends just proven, grants that must grow first.
+func (c *Core) record(p *part) {
+	if len(p.dirty) == 0 || p.committing || p.claiming || p.yielding || c.now < p.retryAt || len(p.refreshing) > 0 {
+		return
+	}
+	w := &writing{part: p, slices: map[string]*slice{}, settled: map[*slice]map[int]outcome{},
+		quotas: map[*quota]map[string]grant{}}
+	w.txn.Guards = []Guard{{p.key(), p.stamp}}
+	size := 0
+	for id, s := range p.dirty {
+		if len(w.txn.Apply)+3 > c.cfg.TxnOps || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
+			break
+		}
+		delete(p.dirty, id)
+		size += c.recordSlice(p, w, id, s)
+	}
+	if len(w.txn.Apply) > 0 {
+		c.write(w)
+	}
+}
+
+func (c *Core) recordSlice(p *part, w *writing, id string, s *slice) int {
+	key := sliceKey(p.name, id)
+	guard := func() { w.txn.Guards = append(w.txn.Guards, Guard{key, s.stamp}) }
+	if s.job.standing != Pending {
+		if len(s.tasks) == 0 {
+			guard()
+			w.txn.Apply = append(w.txn.Apply, Set{Key: key})
+			w.drops = append(w.drops, id)
+		}
+		return 0
+	}
+	if s.complete() && !s.job.spec.Service {
+		if len(s.job.split) == 1 {
+			guard()
+			value := s.job.value(standingDone)
+			w.txn.Guards = append(w.txn.Guards, Guard{s.job.key(), s.job.stamp})
+			w.txn.Apply = append(w.txn.Apply, Set{Key: s.job.key(), Value: value}, Set{Key: key})
+			w.done = append(w.done, s.job)
+			w.drops = append(w.drops, id)
+			w.slices[id] = s
+			w.settled[s] = copyOf(s.settled)
+			w.news = append(w.news, Item{Key: s.job.key(), Value: value})
+			return len(value)
+		}
+		if len(s.settled) == 0 {
+			c.finishTogether(p, s)
+			return 0
+		}
+	}
+	guard()
+	placingHere := false
+	for _, t := range s.tasks {
+		if t.phase == placing {
+			placingHere = true
+			w.placing = append(w.placing, t)
+		}
+	}
+	if placingHere {
+		// A placement counts only while the job is not withdrawn.
+		w.txn.Guards = append(w.txn.Guards, Guard{s.job.key(), s.job.stamp})
+		q := c.quotas[s.job.team]
+		if _, in := w.quotas[q]; !in {
+			if next, grows := c.grow(p, s.job.team); grows {
+				value, _ := json.Marshal(next)
+				w.quotas[q] = next
+				w.txn.Guards = append(w.txn.Guards, Guard{q.key(), q.stamp})
+				w.txn.Apply = append(w.txn.Apply, Set{Key: q.key(), Value: value})
+			}
+		}
+	}
+	value := s.value()
+	w.txn.Apply = append(w.txn.Apply, Set{Key: key, Value: value})
+	w.slices[id] = s
+	w.settled[s] = copyOf(s.settled)
+	return len(value)
+}
+
+func copyOf(m map[int]outcome) map[int]outcome {
+	out := make(map[int]outcome, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// finishTogether sets a job of several parts done once every slice is
+// complete. Each owner looks after its own slice is recorded complete, so the
+// last of them sees all.
+func (c *Core) finishTogether(p *part, s *slice) {
+	if s.busy || c.now < s.checkAt {
+		return
+	}
+	s.busy, s.checkAt = true, c.now+5*time.Second
+	token, id := p.token, s.job.id
+	c.read(s.job.key(), true, func(jr ReadResult) {
+		s.busy = false
+		if jr.Outcome != OK || !jr.Found || !p.mine || p.token != token || p.slices[id] != s {
+			return
+		}
+		c.learnJob(id, jr.Item.Value, jr.Item.Stamp)
+		j := s.job
+		if j.standing != Pending || j.stamp != jr.Item.Stamp || !s.complete() {
+			return
+		}
+		w := &writing{part: p, slices: map[string]*slice{id: s}, done: []*job{j}, drops: []string{id}}
+		value := j.value(standingDone)
+		w.news = []Item{{Key: j.key(), Value: value}}
+		w.txn.Guards = []Guard{{p.key(), p.stamp}, {j.key(), j.stamp}, {sliceKey(p.name, id), s.stamp}}
+		w.txn.Apply = []Set{{Key: j.key(), Value: value}, {Key: sliceKey(p.name, id)}}
+		left, all := 0, true
+		for zone := range j.split {
+			if zone == p.name {
+				continue
+			}
+			left++
+			key := sliceKey(zone, id)
+			c.read(key, true, func(r ReadResult) {
+				left--
+				var v sliceValue
+				if r.Outcome != OK || !r.Found || json.Unmarshal(r.Item.Value, &v) != nil ||
+					len(v.Waiting) > 0 || len(v.Placed) > 0 {
+					all = false
+				} else {
+					w.txn.Guards = append(w.txn.Guards, Guard{key, r.Item.Stamp})
+					w.txn.Apply = append(w.txn.Apply, Set{Key: key})
+				}
+				if left > 0 || !all || !p.mine || p.token != token || p.slices[id] != s || s.job.standing != Pending {
+					return
+				}
+				if p.committing || p.yielding || len(p.refreshing) > 0 {
+					s.checkAt = 0
+					return
+				}
+				c.write(w)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/plan/device.go
@@ -0,0 +1,140 @@
+// Package plan is the dynamic programme that places a pipeline of dependent
+// steps on machines so that its last task ends as early as can be. It is
+// pure: it sees a picture of the machines and returns a schedule.
+package plan
+
+import "sort"
+
+// Amount is what a task takes of its machine.
+type Amount struct{ Cores, Cards, Mem float64 }
+
+// slack forgives rounding of decimal amounts.
+const slack = 1e-6
+
+// Plus adds two amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{a.Cores + b.Cores, a.Cards + b.Cards, a.Mem + b.Mem}
+}
+
+// Minus subtracts b from a.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{a.Cores - b.Cores, a.Cards - b.Cards, a.Mem - b.Mem}
+}
+
+// Within says whether a fits into b.
+func (a Amount) Within(b Amount) bool {
+	return a.Cores <= b.Cores+slack && a.Cards <= b.Cards+slack && a.Mem <= b.Mem+slack
+}
+
+// Use is room taken from Start until End, in seconds.
+type Use struct {
+	Start, End float64
+	Amount     Amount
+}
+
+// Device is one machine as the programme sees it.
+type Device struct {
+	Kind    int             // machine type, zone and kind as a dense index of the caller's
+	Total   Amount          // what the machine has
+	Up      float64         // when it can first take work
+	Uses    []Use           // room taken by running and planned work
+	Images  map[int]float64 // image -> when the machine has it
+	FetchAt float64         // when the fetches queued there are through
+	SPerGB  float64         // seconds to fetch one GB
+	Slow    float64         // factor on run times, 1 for an ordinary machine
+	Penalty float64         // seconds added when choices are compared, for cost
+}
+
+func (d *Device) clone() *Device {
+	c := *d
+	c.Uses = append(make([]Use, 0, len(d.Uses)+4), d.Uses...)
+	c.Images = make(map[int]float64, len(d.Images)+1)
+	for k, v := range d.Images {
+		c.Images[k] = v
+	}
+	return &c
+}
+
+// fits says whether need is free during the whole of [from, to).
+func (d *Device) fits(need Amount, from, to float64) bool {
+	if !d.inUse(from).Plus(need).Within(d.Total) {
+		return false
+	}
+	for _, u := range d.Uses {
+		if u.Start > from && u.Start < to && !d.inUse(u.Start).Plus(need).Within(d.Total) {
+			return false
+		}
+	}
+	return true
+}
+
+// inUse sums what is in use at time t.
+func (d *Device) inUse(t float64) Amount {
+	var sum Amount
+	for _, u := range d.Uses {
+		if u.Start <= t && t < u.End {
+			sum = sum.Plus(u.Amount)
+		}
+	}
+	return sum
+}
+
+// Placement is one task on one device.
+type Placement struct {
+	Step, Task, Device int
+	Start              float64 // when it takes its room (and its fetch begins)
+	Finish             float64
+}
+
+// try finds the earliest placement of a task on the device:
+// finish = max(avail, ready) + comp, where avail is when there is room and the
+// image is there, fetches already queued on the machine included.
+func (d *Device) try(s *Step, ready float64) (start, finish float64, ok bool) {
+	if !s.Need.Within(d.Total) {
+		return 0, 0, false
+	}
+	from := max(ready, d.Up)
+	starts := make([]float64, 1, len(d.Uses)+1)
+	starts[0] = from
+	for _, u := range d.Uses {
+		if u.End > from {
+			starts = append(starts, u.End)
+		}
+	}
+	sort.Float64s(starts)
+	slow := d.Slow
+	if slow <= 0 {
+		slow = 1
+	}
+	for _, t := range starts {
+		avail := t
+		if s.Image >= 0 {
+			if at, has := d.Images[s.Image]; has {
+				avail = max(avail, at)
+			} else {
+				avail = max(avail, d.FetchAt) + s.ImageGB*d.SPerGB
+			}
+		}
+		end := avail + s.Comp*slow
+		if d.fits(s.Need, t, end) {
+			return t, end, true
+		}
+	}
+	return 0, 0, false
+}
+
+// place books a placement on the device.
+func (d *Device) place(s *Step, start, finish float64) {
+	d.Uses = append(d.Uses, Use{start, finish, s.Need})
+	if s.Image < 0 {
+		return
+	}
+	if _, has := d.Images[s.Image]; !has {
+		at := max(start, d.FetchAt) + s.ImageGB*d.SPerGB
+		if d.Images == nil {
+			d.Images = map[int]float64{}
+		}
+		d.Images[s.Image] = at
+		d.FetchAt = at
+	}
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,245 @@
+package plan
+
+import "sort"
+
+// Step is one node of a pipeline: Tasks equal tasks that start when all steps
+// named in Inputs have ended.
+type Step struct {
+	Inputs  []int
+	Tasks   int
+	Need    Amount
+	Comp    float64 // estimated run time on an ordinary machine
+	Image   int     // dense index, or -1 for none
+	ImageGB float64
+	Allowed func(kind int) bool // nil: any machine
+}
+
+// Schedule is a complete placement of a pipeline.
+type Schedule struct {
+	Placements []Placement
+	Finish     float64
+	Complete   bool // false when a step fits no machine
+}
+
+// partial is a partial schedule: the paper's set of triples (task, device,
+// finish), together with what it has booked on the devices it touches.
+type partial struct {
+	done    uint64            // steps placed
+	finish  []float64         // per step, its last task's end; of placed steps only
+	live    uint64            // placed steps that a step still to come depends on
+	booked  map[int]*Device   // devices this schedule has work on
+	triples map[int][]float64 // per device, ends of its bookings in order
+	places  []Placement
+	last    float64
+	cost    float64
+}
+
+// Solve plans the pipeline from time now on. At most frontier partial
+// schedules are kept per round; below that bound, and with the devices'
+// bookings compared in the dominance test, nothing better is cut off.
+// A graph may have up to 64 steps.
+func Solve(steps []Step, devices []*Device, now float64, frontier int) Schedule {
+	if len(steps) > 64 {
+		return Schedule{}
+	}
+	set := []*partial{{finish: make([]float64, len(steps)), last: now, cost: now}}
+	for range steps {
+		var next []*partial
+		for _, p := range set {
+			for i := range steps {
+				if p.done>>i&1 == 0 && p.readyFor(&steps[i]) {
+					next = append(next, p.expand(steps, i, devices, now)...)
+				}
+			}
+		}
+		if len(next) == 0 {
+			return Schedule{}
+		}
+		set = prune(next, frontier)
+	}
+	best := set[0]
+	for _, p := range set {
+		if p.cost < best.cost {
+			best = p
+		}
+	}
+	return Schedule{Placements: best.places, Finish: best.last, Complete: true}
+}
+
+func (p *partial) readyFor(s *Step) bool {
+	for _, in := range s.Inputs {
+		if p.done>>in&1 == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// expand derives the partial schedules that add step i. A step of one task is
+// tried on every device; the tasks of a larger one go one by one to their
+// earliest-finish machine.
+func (p *partial) expand(steps []Step, i int, devices []*Device, now float64) []*partial {
+	s := &steps[i]
+	ready := now
+	for _, in := range s.Inputs {
+		ready = max(ready, p.finish[in])
+	}
+	var out []*partial
+	if s.Tasks == 1 && len(steps) > 1 {
+		for d := range devices {
+			if q := p.copy(); q.put(steps, i, 0, d, devices, ready) {
+				q.close(steps, i)
+				out = append(out, q)
+			}
+		}
+		return out
+	}
+	q := p.copy()
+	for t := 0; t < s.Tasks; t++ {
+		d := q.earliest(s, devices, ready)
+		if d < 0 || !q.put(steps, i, t, d, devices, ready) {
+			return nil
+		}
+	}
+	q.close(steps, i)
+	return append(out, q)
+}
+
+func (p *partial) device(d int, devices []*Device) *Device {
+	if b, ok := p.booked[d]; ok {
+		return b
+	}
+	return devices[d]
+}
+
+// earliest names the device on which the next task of s ends first.
+func (p *partial) earliest(s *Step, devices []*Device, ready float64) int {
+	best, at := -1, 0.0
+	for d := range devices {
+		dev := p.device(d, devices)
+		if s.Allowed != nil && !s.Allowed(dev.Kind) {
+			continue
+		}
+		if _, end, ok := dev.try(s, ready); ok && (best < 0 || end+dev.Penalty < at) {
+			best, at = d, end+dev.Penalty
+		}
+	}
+	return best
+}
+
+func (p *partial) put(steps []Step, i, task, d int, devices []*Device, ready float64) bool {
+	s, dev := &steps[i], p.device(d, devices)
+	if s.Allowed != nil && !s.Allowed(dev.Kind) {
+		return false
+	}
+	start, end, ok := dev.try(s, ready)
+	if !ok {
+		return false
+	}
+	if _, mine := p.booked[d]; !mine {
+		dev = dev.clone()
+		p.booked[d] = dev
+	}
+	dev.place(s, start, end)
+	p.triples[d] = append(append([]float64(nil), p.triples[d]...), start, end)
+	p.places = append(p.places, Placement{i, task, d, start, end})
+	p.finish[i] = max(p.finish[i], end)
+	p.last = max(p.last, end)
+	p.cost = max(p.cost, end+dev.Penalty)
+	return true
+}
+
+// close marks step i as placed and drops triples made redundant by it: those
+// of steps whose dependants are all placed.
+func (p *partial) close(steps []Step, i int) {
+	p.done |= 1 << i
+	p.live = 0
+	for j := range steps {
+		if p.done>>j&1 == 1 {
+			continue
+		}
+		for _, in := range steps[j].Inputs {
+			p.live |= 1 << in
+		}
+	}
+	p.live &= p.done
+}
+
+func (p *partial) copy() *partial {
+	q := &partial{done: p.done, live: p.live, last: p.last, cost: p.cost,
+		finish:  append([]float64(nil), p.finish...),
+		places:  append([]Placement(nil), p.places...),
+		booked:  make(map[int]*Device, len(p.booked)+1),
+		triples: make(map[int][]float64, len(p.triples)+1)}
+	for d, dev := range p.booked {
+		q.booked[d] = dev.clone()
+	}
+	for d, t := range p.triples {
+		q.triples[d] = t
+	}
+	return q
+}
+
+// outperformed says whether q is at least as good as p in every respect that
+// a later step can notice: ends of the steps still needed, the end so far, and
+// the bookings on every device that q touches.
+func (p *partial) outperformed(q *partial) bool {
+	if p.done != q.done || q.cost > p.cost || q.last > p.last {
+		return false
+	}
+	for i := range p.finish {
+		if p.live>>i&1 == 1 && q.finish[i] > p.finish[i] {
+			return false
+		}
+	}
+	for d, t := range q.triples {
+		u := p.triples[d]
+		if len(t) != len(u) {
+			return false
+		}
+		for i := range t {
+			if t[i] != u[i] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// prune drops outperformed schedules and keeps the best frontier of the rest.
+func prune(set []*partial, frontier int) []*partial {
+	sort.SliceStable(set, func(a, b int) bool { return set[a].cost < set[b].cost })
+	var kept []*partial
+next:
+	for _, p := range set {
+		for _, q := range kept {
+			if p.outperformed(q) {
+				continue next
+			}
+		}
+		kept = append(kept, p)
+		if len(kept) >= max(frontier, 1) {
+			break
+		}
+	}
+	return kept
+}
+
+// Spread places n equal, independent tasks one by one, each on its
+// earliest-finish machine, and books them on the devices given. It is Solve
+// for a one-step pipeline without the copying; it stops at the first task
+// that fits nowhere.
+func Spread(s *Step, n int, devices []*Device, ready float64, visit func(Placement)) int {
+	p := &partial{}
+	for t := 0; t < n; t++ {
+		d := p.earliest(s, devices, ready)
+		if d < 0 {
+			return t
+		}
+		dev := devices[d]
+		start, end, _ := dev.try(s, ready)
+		dev.place(s, start, end)
+		visit(Placement{0, t, d, start, end})
+	}
+	return n
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// exhaustive tries every order and every device.
+func exhaustive(steps []Step, devices []*Device, now float64) float64 {
+	best := -1.0
+	var walk func(p *partial)
+	walk = func(p *partial) {
+		if p.done == 1<<len(steps)-1 {
+			if best < 0 || p.last < best {
+				best = p.last
+			}
+			return
+		}
+		for i := range steps {
+			if p.done>>i&1 == 0 && p.readyFor(&steps[i]) {
+				for _, q := range p.expand(steps, i, devices, now) {
+					walk(q)
+				}
+			}
+		}
+	}
+	walk(&partial{finish: make([]float64, len(steps)), last: now, cost: now})
+	return best
+}
+
+func TestSmallGraphsMatchExhaustiveSearch(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	for round := 0; round < 150; round++ {
+		devices := make([]*Device, 2+rng.IntN(2))
+		for d := range devices {
+			devices[d] = &Device{Total: Amount{Cores: float64(1 + rng.IntN(3))}, SPerGB: 5, Slow: 1 + rng.Float64()/2, Up: float64(rng.IntN(20))}
+		}
+		steps := make([]Step, 2+rng.IntN(3))
+		for i := range steps {
+			steps[i] = Step{Tasks: 1, Need: Amount{Cores: 1}, Comp: float64(1 + rng.IntN(30)), Image: rng.IntN(3) - 1, ImageGB: 2}
+			for j := 0; j < i; j++ {
+				if rng.IntN(2) == 0 {
+					steps[i].Inputs = append(steps[i].Inputs, j)
+				}
+			}
+		}
+		got := Solve(steps, devices, 0, 1<<20)
+		require.True(t, got.Complete)
+		require.Len(t, got.Placements, len(steps))
+		assert.InDelta(t, exhaustive(steps, devices, 0), got.Finish, 1e-9, "round %d", round)
+	}
+}
+
+func TestQueuedFetchesAndQueueWaitCount(t *testing.T) {
+	busy := &Device{Total: Amount{Cores: 4}, SPerGB: 5, Images: map[int]float64{0: 0},
+		Uses: []Use{{0, 30, Amount{Cores: 4}}}}
+	bare := &Device{Total: Amount{Cores: 4}, SPerGB: 5, FetchAt: 10}
+	step := Step{Tasks: 1, Need: Amount{Cores: 2}, Comp: 20, ImageGB: 2}
+	got := Solve([]Step{step}, []*Device{busy, bare}, 0, 8)
+	require.True(t, got.Complete)
+	assert.Equal(t, 1, got.Placements[0].Device)
+	assert.Equal(t, 40.0, got.Finish) // queued fetches until 10, own fetch until 20, run until 40
+
+	bare.FetchAt = 25 // now waiting for the busy machine is earlier
+	got = Solve([]Step{step}, []*Device{busy, bare}, 0, 8)
+	assert.Equal(t, 0, got.Placements[0].Device)
+	assert.Equal(t, 50.0, got.Finish)
+}
+
+func TestShortWorkFillsGapsBeforeReservedRoom(t *testing.T) {
+	d := &Device{Total: Amount{Cores: 8}, Uses: []Use{{0, 50, Amount{Cores: 4}}}}
+	big := Step{Need: Amount{Cores: 8}, Comp: 10, Image: -1}
+	small := Step{Need: Amount{Cores: 2}, Comp: 10, Image: -1}
+	var at []float64
+	visit := func(p Placement) { at = append(at, p.Start) }
+	Spread(&big, 1, []*Device{d}, 0, visit)
+	Spread(&small, 1, []*Device{d}, 0, visit)
+	assert.Equal(t, []float64{50, 0}, at)
+}
+
+func TestFrontierBoundStillGivesACompleteSchedule(t *testing.T) {
+	steps := make([]Step, 12)
+	for i := range steps {
+		steps[i] = Step{Tasks: 1, Need: Amount{Cores: 1}, Comp: float64(1 + i%4), Image: -1}
+		if i > 1 {
+			steps[i].Inputs = []int{i - 2}
+		}
+	}
+	devices := []*Device{{Total: Amount{Cores: 1}}, {Total: Amount{Cores: 1}}, {Total: Amount{Cores: 1}}}
+	got := Solve(steps, devices, 0, 16)
+	require.True(t, got.Complete)
+	assert.Len(t, got.Placements, 12)
+	assert.False(t, Solve([]Step{{Tasks: 1, Need: Amount{Cores: 9}}}, devices, 0, 16).Complete)
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,121 @@
+// Package service puts a controller together from its settings.
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"roadcleat/internal/agent"
+	"roadcleat/internal/api"
+	"roadcleat/internal/cloud"
+	"roadcleat/internal/config"
+	"roadcleat/internal/core"
+	"roadcleat/internal/peer"
+	rt "roadcleat/internal/runtime"
+	"roadcleat/internal/state"
+)
+
+// Run runs a controller until the context ends or it can't go on.
+func Run(ctx context.Context, s *config.Settings, o *config.Operator, logTo io.Writer) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	limitProcess(s)
+	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
+
+	apiLn, err := net.Listen("tcp", s.APIAddr)
+	if err != nil {
+		return fmt.Errorf("api_addr: %w", err)
+	}
+	defer apiLn.Close()
+	peerLn, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	defer peerLn.Close()
+
+	share := 1 / float64(1+len(s.Others))
+	d := &s.Deployment
+	st := state.New(s.External.State, 0.93*d.State.RPS*share, 0.93*d.State.WriteRPS*share)
+	cl := cloud.New(s.External.Cloud, 0.93*d.Cloud.RPS*share)
+	var links []*peer.Link
+	var labels []string
+	for _, other := range s.Others {
+		links = append(links, peer.NewLink(s.Label, other.PeerAddr, log))
+		labels = append(labels, other.Label)
+	}
+	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(), links, log)
+	for _, l := range links {
+		go l.Run(ctx)
+	}
+	go peer.Serve(ctx, peerLn, labels, r.Deliver, log)
+	go r.Run(ctx)
+	log.Info("controller started", "label", s.Label, "zone", s.Location)
+	return api.New(r, log).Serve(ctx, apiLn, userConns(s))
+}
+
+// userConns leaves sockets for calls to the outside.
+func userConns(s *config.Settings) int {
+	if s.Deployment.Resources.FDLimit <= 0 {
+		return 1000
+	}
+	return max(s.Deployment.Resources.FDLimit*2/3, 16)
+}
+
+// limitProcess keeps the process within its machine.
+func limitProcess(s *config.Settings) {
+	r := s.Deployment.Resources
+	if r.CoreShare > 0 {
+		runtime.GOMAXPROCS(max(int(r.CoreShare+0.999), 1))
+	}
+	if r.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(r.MemoryMB * 0.6 * (1 << 20)))
+		debug.SetGCPercent(300)
+	}
+}
+
+func level(s string) slog.Level {
+	switch strings.ToLower(s) {
+	case "debug":
+		return slog.LevelDebug
+	case "info":
+		return slog.LevelInfo
+	}
+	return slog.LevelError
+}
+
+// CoreConfig turns the settings into the core's terms.
+func CoreConfig(s *config.Settings, o *config.Operator, boot uint64) core.Config {
+	d := &s.Deployment
+	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+	cfg := core.Config{
+		Label: s.Label, Zone: s.Location, Zones: d.Zones, Waits: map[string]float64{},
+		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
+		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		Boot: boot, Seed: boot,
+		Knobs: core.Knobs{FetchSPerGB: o.FetchSPerGB, Frontier: o.Frontier, KeepIdle: sec(o.KeepIdleS), Window: sec(o.WindowS),
+			SpareShare: o.SpareShare, SilentReturn: sec(o.SilentReturnS), Hold: sec(o.HoldS), Grace: sec(o.GraceS)},
+	}
+	for _, other := range s.Others {
+		cfg.Peers = append(cfg.Peers, core.Peer{Label: other.Label, Zone: other.Location})
+	}
+	for _, t := range d.Teams {
+		cfg.Teams = append(cfg.Teams, core.Team{Name: t.Name, Guarantee: core.Amount{Cores: t.CPUs, Cards: t.GPUs},
+			Limit: core.Amount{Cores: t.CPUsMax, Cards: t.GPUsMax}})
+	}
+	for _, ob := range d.Objectives {
+		if w, ok := cfg.Waits[ob.Class]; ob.Kind == "wait" && (!ok || ob.WithinS < w) {
+			cfg.Waits[ob.Class] = ob.WithinS
+		}
+	}
+	return cfg
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,176 @@
+// Package state is the client of the state service.
+package state
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"roadcleat/internal/core"
+	"roadcleat/internal/httpc"
+	"roadcleat/internal/wire"
+)
+
+// Client calls the state service within this controller's share of its
+// budgets: one token a request, one token a change.
+type Client struct {
+	http     *httpc.Client
+	follow   *httpc.Client // open watches hold no connection others wait for
+	requests *rate.Limiter
+	changes  *rate.Limiter
+}
+
+// New makes a client with a share of the service's budgets per second.
+func New(addr string, requests, changes float64) *Client {
+	return &Client{
+		http:     httpc.New(addr, 24),
+		follow:   httpc.New(addr, 4),
+		requests: rate.NewLimiter(rate.Limit(requests), max(int(requests), 1)),
+		changes:  rate.NewLimiter(rate.Limit(changes), max(int(changes), 1)),
+	}
+}
+
+const timeout = 2 * time.Second
+
+// admit takes the tokens of a call. Calls that are not urgent leave a quarter
+// of the burst to the urgent ones and do not wait for long.
+func (c *Client) admit(ctx context.Context, urgent bool, changes int) bool {
+	if !urgent && c.requests.Tokens() < float64(c.requests.Burst())/4 {
+		return false
+	}
+	if changes > c.changes.Burst() {
+		changes = c.changes.Burst()
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if changes > 0 && c.changes.WaitN(ctx, changes) != nil {
+		return false
+	}
+	return c.requests.Wait(ctx) == nil
+}
+
+// Commit carries out a transaction.
+func (c *Client) Commit(ctx context.Context, op core.CommitOp) core.CommitResult {
+	if !c.admit(ctx, op.Urgent, len(op.Txn.Apply)) {
+		return core.CommitResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodPost, "/commit", wire.EncodeTxn(op.Txn))
+	switch {
+	case r.NotSent || r.Status == 503 || r.Status == 429:
+		return core.CommitResult{Outcome: core.NotSent}
+	case r.Err != nil:
+		return core.CommitResult{Outcome: core.Unknown}
+	}
+	reply := wire.DecodeTxnReply(r.Body)
+	switch r.Status {
+	case 200:
+		return core.CommitResult{Outcome: core.OK, Revision: reply.Ledger}
+	case 409:
+		return core.CommitResult{Outcome: core.Refused, Failed: reply.Failed}
+	case 400:
+		return core.CommitResult{Outcome: core.Refused, NoLease: reply.Error == "no such lease"}
+	}
+	return core.CommitResult{Outcome: core.Unknown}
+}
+
+// Read reads a key.
+func (c *Client) Read(ctx context.Context, op core.ReadOp) core.ReadResult {
+	if !c.admit(ctx, op.Urgent, 0) {
+		return core.ReadResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodGet, "/store/"+op.Key, nil)
+	switch {
+	case r.Err != nil || r.Status != 200 && r.Status != 404:
+		return core.ReadResult{Outcome: core.Unknown}
+	case r.Status == 404:
+		return core.ReadResult{Outcome: core.OK}
+	}
+	item, err := wire.DecodeItem(r.Body)
+	if err != nil {
+		return core.ReadResult{Outcome: core.Unknown}
+	}
+	return core.ReadResult{Outcome: core.OK, Found: true, Item: item}
+}
+
+// List reads all keys with a prefix, page by page.
+func (c *Client) List(ctx context.Context, op core.ListOp) core.ListResult {
+	var out core.ListResult
+	after := ""
+	for {
+		if !c.admit(ctx, true, 0) {
+			return core.ListResult{Outcome: core.NotSent}
+		}
+		q := url.Values{"Starts": {op.Prefix}, "Page": {"500"}}
+		if after != "" {
+			q.Set("After", after)
+		}
+		r := c.http.Do(ctx, timeout, http.MethodGet, "/store?"+q.Encode(), nil)
+		if r.Err != nil || r.Status != 200 {
+			return core.ListResult{Outcome: core.Unknown}
+		}
+		items, more, ledger, err := wire.DecodeRows(r.Body)
+		if err != nil {
+			return core.ListResult{Outcome: core.Unknown}
+		}
+		if out.Ledger == 0 {
+			out.Ledger = ledger // the view is no newer than its first page
+		}
+		out.Items = append(out.Items, items...)
+		if !more || len(items) == 0 {
+			out.Outcome = core.OK
+			return out
+		}
+		after = items[len(items)-1].Key
+	}
+}
+
+// Follow waits for changes.
+func (c *Client) Follow(ctx context.Context, op core.FollowOp) core.FollowResult {
+	if !c.admit(ctx, true, 0) {
+		return core.FollowResult{Outcome: core.NotSent}
+	}
+	path := fmt.Sprintf("/follow?Starts=%s&After=%d&WaitMs=%d", url.QueryEscape(op.Prefix), op.After, op.Wait.Milliseconds())
+	r := c.follow.Do(ctx, op.Wait+timeout, http.MethodGet, path, nil)
+	switch {
+	case r.Err != nil || r.Status != 200 && r.Status != 410:
+		return core.FollowResult{Outcome: core.Unknown}
+	case r.Status == 410:
+		return core.FollowResult{Outcome: core.Refused}
+	}
+	news, ledger, err := wire.DecodeNews(r.Body)
+	if err != nil {
+		return core.FollowResult{Outcome: core.Unknown}
+	}
+	return core.FollowResult{Outcome: core.OK, Ledger: ledger, News: news}
+}
+
+// Hold asks for a lease.
+func (c *Client) Hold(ctx context.Context, op core.HoldOp) core.HoldResult {
+	if !c.admit(ctx, true, 0) {
+		return core.HoldResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodPost, "/holds", wire.EncodeHold(op.Life.Milliseconds()))
+	if reply := wire.DecodeTxnReply(r.Body); r.Err == nil && r.Status == 200 && reply.Tenure > 0 {
+		return core.HoldResult{Outcome: core.OK, Lease: reply.Tenure}
+	}
+	return core.HoldResult{Outcome: core.Unknown}
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, op core.RenewOp) core.RenewResult {
+	if !c.admit(ctx, true, 0) {
+		return core.RenewResult{Outcome: core.NotSent}
+	}
+	r := c.http.Do(ctx, timeout, http.MethodPost, fmt.Sprintf("/holds/%d/renew", op.Lease), nil)
+	switch {
+	case r.Err == nil && r.Status == 200:
+		return core.RenewResult{Outcome: core.OK}
+	case r.Err == nil && r.Status == 404:
+		return core.RenewResult{Outcome: core.Refused}
+	}
+	return core.RenewResult{Outcome: core.Unknown}
+}
--- /dev/null
+++ b/internal/wire/cloud.go
@@ -0,0 +1,79 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"roadcleat/internal/core"
+)
+
+type breed struct {
+	Name              string
+	Cores, Cards      float64
+	MemGb, CacheGb    float64
+	PullGbPerS        float64
+	Rate, MarketPrice float64
+	BootS             float64
+	Yards             []string
+}
+
+// DecodeCatalog reads the machine types.
+func DecodeCatalog(body []byte) ([]core.MachineType, error) {
+	var c struct{ Breeds []breed }
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("catalogue: %w", err)
+	}
+	var out []core.MachineType
+	for _, b := range c.Breeds {
+		out = append(out, core.MachineType{Name: b.Name, Total: core.Amount{Cores: b.Cores, Cards: b.Cards, Mem: b.MemGb},
+			CacheGB: b.CacheGb, GBPerS: b.PullGbPerS, Price: b.Rate, SpotPrice: b.MarketPrice, BootS: b.BootS, Zones: b.Yards})
+	}
+	return out, nil
+}
+
+// EncodeHire writes a rental request.
+func EncodeHire(op core.HireOp) []byte {
+	b, _ := json.Marshal(struct {
+		Hire, Breed, Yard string
+		Loaners           bool
+		Number            int
+	}{op.Name, op.Type, op.Zone, op.Spot, op.Number})
+	return b
+}
+
+// EncodeReturn writes the names of machines to give back.
+func EncodeReturn(hosts []string) []byte {
+	b, _ := json.Marshal(struct{ Hosts []string }{hosts})
+	return b
+}
+
+// DecodeHired reads the names of the machines rented.
+func DecodeHired(body []byte) ([]string, error) {
+	var h struct{ Hosts []string }
+	if err := json.Unmarshal(body, &h); err != nil {
+		return nil, fmt.Errorf("rental: %w", err)
+	}
+	return h.Hosts, nil
+}
+
+// DecodeHosts reads a page of the machine list and whether more follow.
+func DecodeHosts(body []byte) ([]core.Listed, bool, error) {
+	var l struct {
+		Hosts []struct {
+			Ref, Endpoint, Breed, Yard string
+			Loaners                    bool
+			Standing                   string
+			HeldS                      float64
+		}
+		Truncated bool
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return nil, false, fmt.Errorf("machine list: %w", err)
+	}
+	var out []core.Listed
+	for _, h := range l.Hosts {
+		out = append(out, core.Listed{Name: h.Ref, Addr: h.Endpoint, Type: h.Breed, Zone: h.Yard, Spot: h.Loaners,
+			State: h.Standing, HeldS: h.HeldS})
+	}
+	return out, l.Truncated, nil
+}
