--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -17,7 +17,8 @@
 	Class      string   `json:"cl,omitempty"`
 	Team       string   `json:"te"`
 	Service    bool     `json:"sv,omitempty"`
-	Priority   int      `json:"pr"` // 0 is the most urgent
+	Gang       bool     `json:"ga,omitempty"` // tasks run together or not at all
+	Priority   int      `json:"pr"`           // 0 is the most urgent
 	Tasks      int      `json:"n"`
 	Need       Amount   `json:"a"`
 	Types      []string `json:"ty,omitempty"`
@@ -41,7 +42,8 @@
 
 // States of a task on a machine, as a worker reports them.
 const (
-	Fetching = iota + 1
+	Fetching  = iota + 1
+	Gathering // has its image and waits for the rest of its gang
 	Running
 	Saving
 	Ended
@@ -55,6 +57,7 @@
 	NoRoom
 	InUse
 	NoSuch
+	Lonely // the rest of its gang did not come, or left
 )
 
 // Reported is one task in a worker's report.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -179,6 +179,14 @@
 	}
 	done = done && !s.job.spec.Service
 	s.settled[t.id.Index] = outcome{t.attempt, done}
+	if s.job.spec.Gang && !done {
+		// A gang runs together or not at all.
+		for _, other := range s.tasks {
+			if other.phase == onHost && !other.halting {
+				c.halt(p, other, s.job.spec.Save)
+			}
+		}
+	}
 	if done {
 		s.done.add(t.id.Index)
 		c.stats.Finished++
@@ -477,6 +485,10 @@
 		if h.errors >= 3 {
 			h.failed = true
 		}
+	case Lonely:
+		if j := t.job(); j != nil {
+			j.holdTo = c.now + time.Second
+		}
 	case NoRoom:
 		h.blockUntil = c.now + 2*time.Second
 	case NoSuch:
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -216,7 +216,7 @@
 		return "unknown team"
 	}
 	lim, times := c.limits[team].Limit, 1.0
-	if s.Service {
+	if s.Service || s.Gang {
 		times = float64(s.Tasks)
 	}
 	if s.Need.Cores*times > lim.Cores+1e-6 || s.Need.Cards*times > lim.Cards+1e-6 {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -90,7 +90,7 @@
 
 // step is a job's tasks as the programme's step.
 func (c *Core) step(j *job) *plan.Step {
-	return &plan.Step{Tasks: 1, Need: j.spec.Need.plan(), Comp: c.estimate(j), Image: j.image,
+	return &plan.Step{Tasks: 1, Gang: j.spec.Gang, Need: j.spec.Need.plan(), Comp: c.estimate(j), Image: j.image,
 		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return c.allowedOn(j, kind) }}
 }
 
@@ -196,10 +196,18 @@
 		if c.now < j.holdTo {
 			continue
 		}
+		if j.spec.Gang && (len(s.tasks) > 0 || n < s.waiting.count()) {
+			continue // whole or not at all, and only once the last try is off its machines
+		}
 		var starts []plan.Placement
 		placed := plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) { starts = append(starts, pl) })
 		late := n - placed
 		ids := s.waiting.first(n)
+		if j.spec.Gang && !c.allNow(starts, n, all) {
+			p.shortage = append(p.shortage, need{j, n})
+			continue
+		}
+		s.next++ // the tasks of a gang know each other by their common attempt
 		for k, pl := range starts {
 			h := all[pl.Device].host
 			if pl.Start > now+soon || h.state != up {
@@ -214,10 +222,22 @@
 	}
 }
 
+// allNow says whether every task of a gang can start now.
+func (c *Core) allNow(starts []plan.Placement, n int, all []device) bool {
+	for _, pl := range starts {
+		if pl.Start > seconds(c.now)+soon || all[pl.Device].host.state != up {
+			return false
+		}
+	}
+	return len(starts) == n
+}
+
 // place books a task on a host; it is launched once that is durable.
 func (c *Core) place(p *part, s *slice, i int, h *host, finish float64) {
 	j := s.job
-	s.next++
+	if !j.spec.Gang {
+		s.next++
+	}
 	t := &task{id: TaskID{j.id, i}, slice: s, host: h, attempt: s.next, phase: placing,
 		need: j.spec.Need, team: j.team, since: c.now, fetchFrom: c.now}
 	if h.tasks[t.id] != nil {
@@ -332,7 +352,8 @@
 	}
 	counts := make([]int, len(c.parts))
 	now := seconds(c.now)
-	if spec.OneZone {
+	if spec.OneZone || spec.Gang {
+		// A gang is placed in one transaction of one owner, so it stays together.
 		counts[c.bestZone(step, spec.Tasks, byZone, now)] = spec.Tasks
 	} else {
 		most := spec.Tasks
@@ -378,7 +399,7 @@
 		for _, d := range ds {
 			devices = append(devices, d.Device)
 		}
-		sched := plan.Solve([]plan.Step{{Tasks: min(n, planned), Need: step.Need, Comp: step.Comp, Image: step.Image,
+		sched := plan.Solve([]plan.Step{{Tasks: min(n, planned), Gang: step.Gang, Need: step.Need, Comp: step.Comp, Image: step.Image,
 			ImageGB: step.ImageGB, Allowed: step.Allowed}}, devices, now, c.cfg.Knobs.Frontier)
 		if sched.Complete && (best < 0 || sched.Finish < at) {
 			best, at = z, sched.Finish
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -107,6 +107,23 @@
 	return next, true
 }
 
+// granted says whether all that the part has placed or is placing of a team
+// fits into its grant, or will once the grant has grown.
+func (c *Core) granted(p *part, team int, w *writing) bool {
+	q, used := c.quotas[team], p.used[team]
+	if !q.known {
+		return false
+	}
+	g, ok := w.quotas[q]
+	if !ok {
+		if g, ok = c.grow(p, team); !ok {
+			return true
+		}
+	}
+	mine := g[p.name]
+	return used.Cores <= mine.Cores+1e-6 && used.Cards <= mine.Cards+1e-6
+}
+
 // giveBack returns the part's idle grant of a team: at once when another part
 // asks for it, otherwise after it has been idle for a while.
 func (c *Core) giveBack(p *part, team int, now bool) bool {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -424,10 +424,17 @@
 	guard()
 	placingHere := false
 	for _, t := range s.tasks {
-		if t.phase == placing {
-			placingHere = true
-			w.placing = append(w.placing, t)
+		if t.phase != placing {
+			continue
+		}
+		// The grants may have changed since the task was planned: another part
+		// may have taken what was free then.
+		if !c.granted(p, s.job.team, w) {
+			c.unplace(p, t)
+			continue
 		}
+		placingHere = true
+		w.placing = append(w.placing, t)
 	}
 	if placingHere {
 		// A placement counts only while the job is not withdrawn.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -12,6 +12,7 @@
 	Image   int     // dense index, or -1 for none
 	ImageGB float64
 	Allowed func(kind int) bool // nil: any machine
+	Gang    bool                // all tasks take their room at the same moment
 }
 
 // Schedule is a complete placement of a pipeline.
@@ -85,7 +86,7 @@
 		ready = max(ready, p.finish[in])
 	}
 	var out []*partial
-	if s.Tasks == 1 && len(steps) > 1 {
+	if s.Tasks == 1 && len(steps) > 1 && !s.Gang {
 		for d := range devices {
 			if q := p.copy(); q.put(steps, i, 0, d, devices, ready) {
 				q.close(steps, i)
@@ -94,6 +95,9 @@
 		}
 		return out
 	}
+	if s.Gang {
+		ready = p.together(s, devices, ready)
+	}
 	q := p.copy()
 	for t := 0; t < s.Tasks; t++ {
 		d := q.earliest(s, devices, ready)
@@ -127,6 +131,57 @@
 	return best
 }
 
+// together is the first moment from ready on at which all tasks of a gang have
+// room: its avail.
+func (p *partial) together(s *Step, devices []*Device, ready float64) float64 {
+	times := []float64{ready}
+	for d := range devices {
+		dev := p.device(d, devices)
+		times = append(times, dev.Up)
+		for _, u := range dev.Uses {
+			times = append(times, u.End)
+		}
+	}
+	sort.Float64s(times)
+next:
+	for i, t := range times {
+		if t < ready || i > 0 && t == times[i-1] {
+			continue
+		}
+		q := &partial{booked: map[int]*Device{}}
+		for n := 0; n < s.Tasks; n++ {
+			d := q.earliestAt(s, p, devices, t)
+			if d < 0 {
+				continue next
+			}
+		}
+		return t
+	}
+	return ready
+}
+
+// earliestAt books a task that takes its room exactly at t, on trial.
+func (q *partial) earliestAt(s *Step, p *partial, devices []*Device, t float64) int {
+	for d := range devices {
+		dev, mine := q.booked[d]
+		if !mine {
+			dev = p.device(d, devices)
+		}
+		if s.Allowed != nil && !s.Allowed(dev.Kind) {
+			continue
+		}
+		if start, end, ok := dev.try(s, t); ok && start <= t {
+			if !mine {
+				dev = dev.clone()
+				q.booked[d] = dev
+			}
+			dev.place(s, start, end)
+			return d
+		}
+	}
+	return -1
+}
+
 func (p *partial) put(steps []Step, i, task, d int, devices []*Device, ready float64) bool {
 	s, dev := &steps[i], p.device(d, devices)
 	if s.Allowed != nil && !s.Allowed(dev.Kind) {
@@ -227,10 +282,16 @@
 
 // Spread places n equal, independent tasks one by one, each on its
 // earliest-finish machine, and books them on the devices given. It is Solve
-// for a one-step pipeline without the copying; it stops at the first task
+// for a one-step pipeline without the copying. A gang waits for the first
+// moment at which all n have room. It stops at the first task
 // that fits nowhere.
 func Spread(s *Step, n int, devices []*Device, ready float64, visit func(Placement)) int {
 	p := &partial{}
+	if s.Gang {
+		whole := *s
+		whole.Tasks = n
+		ready = p.together(&whole, devices, ready)
+	}
 	for t := 0; t < n; t++ {
 		d := p.earliest(s, devices, ready)
 		if d < 0 {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -81,6 +81,15 @@
 	assert.Equal(t, []float64{50, 0}, at)
 }
 
+func TestGangWaitsUntilAllItsTasksHaveRoom(t *testing.T) {
+	free := &Device{Total: Amount{Cores: 4}}
+	busy := &Device{Total: Amount{Cores: 4}, Uses: []Use{{0, 30, Amount{Cores: 4}}}}
+	gang := Step{Need: Amount{Cores: 4}, Comp: 10, Image: -1, Gang: true}
+	var starts []float64
+	require.Equal(t, 2, Spread(&gang, 2, []*Device{free, busy}, 0, func(p Placement) { starts = append(starts, p.Start) }))
+	assert.Equal(t, []float64{30, 30}, starts)
+}
+
 func TestFrontierBoundStillGivesACompleteSchedule(t *testing.T) {
 	steps := make([]Step, 12)
 	for i := range steps {
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -51,6 +51,7 @@
 const (
 	formArray  = "array"
 	formDaemon = "daemon"
+	formGang   = "ensemble"
 	maxTasks   = 100000
 	maxAmount  = 1e9
 )
@@ -113,7 +114,7 @@
 	switch {
 	case !ok:
 		return spec, fmt.Errorf("Urgency: unknown value")
-	case *r.Form != formArray && *r.Form != formDaemon:
+	case *r.Form != formArray && *r.Form != formDaemon && *r.Form != formGang:
 		return spec, fmt.Errorf("Form: unknown value")
 	case *r.Sheets < 1 || *r.Sheets > maxTasks:
 		return spec, fmt.Errorf("Sheets: must be from 1 to %d", maxTasks)
@@ -121,6 +122,7 @@
 		return spec, fmt.Errorf("Desk: empty")
 	}
 	spec.Class, spec.Team, spec.Service, spec.Priority = *r.Docket, *r.Desk, *r.Form == formDaemon, prio
+	spec.Gang = *r.Form == formGang
 	spec.Tasks, spec.Types, spec.Image = *r.Sheets, r.Breeds, *r.Build
 	spec.OneZone, spec.Apart, spec.Spot = *r.OneZone, *r.Apart, *r.Loaners
 	if r.Yard != nil {
--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -24,9 +24,9 @@
 }
 
 var (
-	taskStates = map[string]int{"fetching": core.Fetching, "running": core.Running, "flushing": core.Saving, "ended": core.Ended}
+	taskStates = map[string]int{"fetching": core.Fetching, "gathering": core.Gathering, "running": core.Running, "flushing": core.Saving, "ended": core.Ended}
 	taskCauses = map[string]int{"done": core.Done, "stopped": core.Stopped, "error": core.Failed, "full": core.NoRoom,
-		"in_use": core.InUse, "no_such": core.NoSuch}
+		"in_use": core.InUse, "no_such": core.NoSuch, "peers": core.Lonely, "alone": core.Lonely}
 	verbs = map[int]string{core.Launch: "launch", core.Halt: "halt", core.Clear: "clear"}
 )
 
