--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,8 @@
 	quotas []*quota // by team
 	limits []Team   // by team
 
+	deafUntil      time.Duration
+	heard          map[string]map[string]time.Duration // workers of others' parts, by zone
 	lease          uint64
 	leaseSent      time.Duration // when the last good renewal was sent
 	leaseBusy      bool
@@ -112,7 +114,7 @@
 		cfg: cfg, calls: map[uint64]func(any){},
 		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
 		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{},
-		shown: map[string][]Shown{}, sPerGB: map[int]float64{},
+		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sPerGB: map[int]float64{},
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
 	for _, z := range cfg.Zones {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -363,6 +363,7 @@
 	AgeMs   int64  // ... as of so long ago; negative: no view
 	Parts   []PartView
 	Heard   map[string]int // workers of parts not its own heard lately
+	Deaf    bool           // it gave a part up because it did not hear its workers
 }
 
 // PartView is a summary of a part by its owner.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -224,6 +224,10 @@
 	rep := &e.Report
 	p := c.parts[c.zone(rep.Zone)]
 	if !p.mine || p.yielding {
+		if c.heard[rep.Zone] == nil {
+			c.heard[rep.Zone] = map[string]time.Duration{}
+		}
+		c.heard[rep.Zone][rep.Host] = c.now
 		r := BeatReply{Req: e.Req, Status: 421}
 		if q := c.peer(p.owner); q != nil && c.now < q.heard+3*time.Second {
 			r.Foreman = q.Label
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -16,7 +16,7 @@
 	owner     string // by the store's view; empty when free
 	stamp     uint64
 	freeSince time.Duration
-	missed    time.Duration // since when the owner has been out of touch
+	offered   bool // its last owner named this controller
 
 	mine     bool
 	token    uint64
@@ -218,9 +218,6 @@
 	if p.mine && stamp > p.token {
 		c.lose(p, "claimed by "+v.Owner)
 	}
-	if p.owner != v.Owner {
-		p.missed = 0
-	}
 	p.known, p.owner, p.stamp, p.freeSince = true, v.Owner, stamp, 0
 }
 
@@ -255,8 +252,6 @@
 			c.claim(p)
 		case p.owner == "" && c.now >= p.freeSince+c.claimDelay(p):
 			c.claim(p)
-		case p.owner != "" && c.ownerDead(p):
-			c.claim(p)
 		}
 	}
 }
@@ -277,7 +272,7 @@
 // claimDelay is how long a free part is left to controllers with a better
 // reason to take it: its home first, then whoever owns the fewest.
 func (c *Core) claimDelay(p *part) time.Duration {
-	if mine, _ := c.homeOf(p); mine {
+	if mine, _ := c.homeOf(p); mine && c.now >= c.deafUntil || p.offered {
 		return 0
 	}
 	owned := 0
@@ -299,25 +294,6 @@
 	return r
 }
 
-// ownerDead says whether the owner by the store's view has been silent to
-// this controller and, by their word, to the others for so long that taking
-// its part early is better than waiting for its lease. The token makes that
-// safe: a live owner loses by it only its office.
-func (c *Core) ownerDead(p *part) bool {
-	q := c.peer(p.owner)
-	if q == nil {
-		return false
-	}
-	if c.now < q.heard+2500*time.Millisecond {
-		p.missed = 0
-		return false
-	}
-	if p.missed == 0 {
-		p.missed = c.now
-	}
-	return c.now >= p.missed+c.cfg.Knobs.Hold+c.claimDelay(p)
-}
-
 // claim takes a part, or raises the token of one already mine.
 func (c *Core) claim(p *part) {
 	value, _ := json.Marshal(partValue{c.cfg.Label})
@@ -370,8 +346,8 @@
 }
 
 func (c *Core) claimed(p *part, revision uint64, again bool) {
-	p.mine, p.known = true, true
-	p.owner, p.stamp, p.token, p.freeSince, p.missed = c.cfg.Label, revision, revision, 0, 0
+	p.mine, p.known, p.offered = true, true, false
+	p.owner, p.stamp, p.token, p.freeSince = c.cfg.Label, revision, revision, 0
 	if !again {
 		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
 		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
@@ -448,10 +424,18 @@
 // back. The old owner stops first, then drops the key.
 func (c *Core) maybeYield(p *part) {
 	mine, home := c.homeOf(p)
-	if mine || home == nil || !p.loaded || p.committing || p.claiming || p.yielding {
+	if !p.loaded || p.committing || p.claiming || p.yielding {
+		return
+	}
+	if to := c.deafTo(p); to != nil {
+		c.deafUntil = c.now + time.Minute
+		c.yield(p, to, "its workers are heard elsewhere only")
 		return
 	}
-	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK
+	if mine || home == nil {
+		return
+	}
+	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK && !home.gossip.Deaf
 	if !well {
 		p.homeUp = 0
 		return
@@ -462,18 +446,48 @@
 	if c.now < p.homeUp+5*time.Second || len(p.refreshing) > 0 {
 		return
 	}
+	c.yield(p, home, "its home is back")
+}
+
+// deafTo names the controller that hears the part's workers while this one,
+// though it reaches the state service, hears none of them.
+func (c *Core) deafTo(p *part) *peer {
+	if c.now < p.loadedAt+10*time.Second {
+		return nil
+	}
+	workers := 0
+	for _, h := range p.hosts {
+		if h.state == up {
+			workers++
+			if c.now < h.lastHeard+8*time.Second {
+				return nil
+			}
+		}
+	}
+	for _, q := range c.peers {
+		if workers > 1 && c.now < q.gossipAt+1500*time.Millisecond && q.gossip != nil && q.gossip.StoreOK &&
+			!q.gossip.Deaf && q.gossip.Heard[p.name] > 0 {
+			return q
+		}
+	}
+	return nil
+}
+
+// yield lays a part down: stop first, then drop the key, then tell who should
+// take it.
+func (c *Core) yield(p *part, to *peer, why string) {
 	p.yielding = true
-	c.note(1, "part handed home", "part", p.name, "token", p.token, "to", home.Label)
+	c.note(1, "part handed over", "part", p.name, "token", p.token, "to", to.Label, "why", why)
+	name := p.name
 	c.commit(Txn{Guards: []Guard{{p.key(), p.stamp}}, Apply: []Set{{Key: p.key()}}}, true, func(CommitResult) {
 		// Whatever the answer, the office is laid down; the key is read again.
-		name := p.name
-		c.lose(p, "handed home")
+		c.lose(p, "handed over")
 		for i, q := range c.peers {
-			if q == home {
+			if q == to {
 				c.emit(Tell{i, Message{Boot: c.cfg.Boot, Freed: []string{name}}})
 			}
 		}
-		p.retryAt = c.now + c.cfg.Knobs.Grace
+		p.retryAt = c.now + c.cfg.Knobs.Grace + 2*time.Second
 		c.rereadPart(p)
 	})
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -48,6 +48,7 @@
 	}
 	for _, zone := range m.Freed {
 		if z := c.zones.known(zone); z >= 0 && !c.parts[z].mine && !c.parts[z].claiming {
+			c.parts[z].offered = true
 			c.rereadPart(c.parts[z])
 		}
 	}
@@ -95,7 +96,15 @@
 		return
 	}
 	c.gossipAt = c.now + 500*time.Millisecond
-	g := &Gossip{StoreOK: c.storeWell(), AgeMs: -1}
+	g := &Gossip{StoreOK: c.storeWell(), AgeMs: -1, Heard: map[string]int{}, Deaf: c.now < c.deafUntil}
+	for zone, hosts := range c.heard {
+		for name, at := range hosts {
+			if c.now > at+6*time.Second {
+				delete(hosts, name)
+			}
+		}
+		g.Heard[zone] = len(hosts)
+	}
 	if f, ok := c.fresh(); ok {
 		g.Ledger, g.AgeMs = c.jobsView.ledger, (c.now - f).Milliseconds()
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"roadcleat/internal/core"
@@ -22,6 +23,8 @@
 	maxMessage = 4 << 20
 	ioTimeout  = 4 * time.Second
 	idleLimit  = 10 * time.Second
+
+	confirmWithin = 2500 * time.Millisecond
 )
 
 // hello opens a connection.
@@ -79,11 +82,36 @@
 	if err := enc.Encode(hello{l.self}); err != nil {
 		return fmt.Errorf("hello: %w", err)
 	}
+	// The other side confirms each message with a byte. Without that, a
+	// connection that a cut has made useless would swallow messages for as
+	// long as the kernel takes them.
+	var unconfirmed atomic.Int64
+	broken := make(chan error, 1)
+	go func() {
+		buf := make([]byte, 64)
+		for {
+			n, err := conn.Read(buf)
+			unconfirmed.Add(int64(-n))
+			if err != nil {
+				broken <- fmt.Errorf("confirmations: %w", err)
+				return
+			}
+		}
+	}()
+	lastClear := time.Now()
 	for {
+		if unconfirmed.Load() <= 0 {
+			lastClear = time.Now()
+		} else if time.Since(lastClear) > confirmWithin {
+			return fmt.Errorf("no confirmation for %s", confirmWithin)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case err := <-broken:
+			return err
 		case m := <-l.queue:
+			unconfirmed.Add(1)
 			if err := conn.SetWriteDeadline(time.Now().Add(ioTimeout)); err != nil {
 				return err
 			}
@@ -172,5 +200,11 @@
 			return fmt.Errorf("receive: %w", err)
 		}
 		deliver(from, m)
+		if err := conn.SetWriteDeadline(time.Now().Add(ioTimeout)); err != nil {
+			return err
+		}
+		if _, err := conn.Write([]byte{1}); err != nil {
+			return fmt.Errorf("confirm: %w", err)
+		}
 	}
 }
