--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -70,7 +70,7 @@
 // capacity counts the cores of machines that work, boot or are being hired.
 func (c *Core) capacity(p *part) float64 {
 	sum := 0.0
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.typ >= 0 && h.recall == 0 && !h.failed && !h.expired && (h.state == up || h.state == booting) {
 			sum += c.types[h.typ].Total.Cores
 		}
@@ -114,7 +114,7 @@
 	per := n.job.spec.Need
 	// Room that is on its way for this shape.
 	coming := 0
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.state == booting && h.typ >= 0 && c.allowedOn(n.job, c.kind(p.zone, h.typ, h.spot)) {
 			coming += c.holds(h.typ, per)
 		}
@@ -245,7 +245,7 @@
 		return
 	}
 	var idle []*host
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.state == up && h.typ >= 0 && len(h.tasks) == 0 && h.recall == 0 &&
 			c.now >= h.idleSince+c.cfg.Knobs.KeepIdle {
 			idle = append(idle, h)
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -181,7 +181,11 @@
 	s.settled[t.id.Index] = outcome{t.attempt, done}
 	if s.job.spec.Gang && !done {
 		// A gang runs together or not at all.
-		for _, other := range s.tasks {
+		for _, i := range sorted(s.tasks) {
+			other := s.tasks[i]
+			if other == nil {
+				continue
+			}
 			if other.phase == onHost && !other.halting {
 				c.halt(p, other, s.job.spec.Save)
 			}
@@ -268,8 +272,9 @@
 		return nil
 	}
 	var out []Order
-	for id, t := range h.tasks {
-		if t.phase != onHost {
+	for _, id := range sortedTasks(h.tasks) {
+		t := h.tasks[id]
+		if t == nil || t.phase != onHost {
 			continue
 		}
 		r, shown := h.reported[id]
@@ -294,7 +299,8 @@
 			out = append(out, Order{Verb: Halt, Task: id, Attempt: t.attempt, Leeway: c.leewayNow(t)})
 		}
 	}
-	for id, r := range h.reported {
+	for _, id := range sortedTasks(h.reported) {
+		r := h.reported[id]
 		t := h.tasks[id]
 		switch {
 		case t != nil && t.attempt == r.Attempt:
@@ -386,8 +392,9 @@
 	if !p.loaded {
 		return
 	}
-	for id, t := range h.tasks {
-		if t.phase != onHost {
+	for _, id := range sortedTasks(h.tasks) {
+		t := h.tasks[id]
+		if t == nil || t.phase != onHost {
 			continue
 		}
 		if r, ok := h.reported[id]; ok && r.Attempt == t.attempt {
@@ -429,8 +436,9 @@
 }
 
 func (c *Core) settleAll(p *part, h *host, which func(*task) bool) {
-	for _, t := range h.tasks {
-		if t.phase == onHost && which(t) {
+	for _, id := range sortedTasks(h.tasks) {
+		t := h.tasks[id]
+		if t != nil && t.phase == onHost && which(t) {
 			c.settle(p, t, false)
 		}
 	}
@@ -677,13 +685,13 @@
 			}
 		}
 		if !p.loaded {
-			for _, h := range p.hosts {
+			for _, h := range p.hostList() {
 				c.greet(p, h)
 			}
 			continue
 		}
 		silent, alive := 0, 0
-		for _, h := range p.hosts {
+		for _, h := range p.hostList() {
 			if h.state == up && !h.expired {
 				alive++
 				if c.now > h.lastHeard+c.cfg.Report*2 {
@@ -695,7 +703,7 @@
 		// controller that hears nothing.
 		deaf := silent >= 3 && silent*2 > alive
 		var back []*host
-		for _, h := range p.hosts {
+		for _, h := range p.hostList() {
 			c.greet(p, h)
 			if h.state == up {
 				c.checkLease(p, h)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -77,7 +77,8 @@
 		c.jobs[id] = j
 	}
 	j.stamp, j.split, j.moves = stamp, v.Split, v.Moves
-	for zone, r := range v.Split {
+	for _, zone := range sorted(v.Split) {
+		r := v.Split[zone]
 		z := c.zones.known(zone)
 		if z < 0 || !c.parts[z].mine || !c.parts[z].loaded || c.parts[z].slices[id] != nil {
 			continue
@@ -120,7 +121,7 @@
 // rereadLive reads every unfinished job it has work of again, after changes
 // may have been missed.
 func (c *Core) rereadLive() {
-	for id := range c.jobs {
+	for _, id := range sorted(c.jobs) {
 		c.read("job/"+id, true, func(res ReadResult) {
 			if res.Outcome == OK && res.Found {
 				c.learnJob(id, res.Item.Value, res.Item.Stamp)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -356,7 +356,7 @@
 		c.listAt = 0
 	}
 	c.note(1, "part claimed", "part", p.name, "token", p.token, "again", again)
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		h.greetAt = 0
 	}
 	if !again {
@@ -396,7 +396,7 @@
 				p.loading = false
 				p.slices, p.dirty = map[string]*slice{}, map[string]*slice{}
 				p.used = make([]Amount, len(c.limits))
-				for _, h := range p.hosts {
+				for _, h := range p.hostList() {
 					h.tasks = map[TaskID]*task{}
 				}
 				return
@@ -456,7 +456,7 @@
 		return nil
 	}
 	workers := 0
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.state == up {
 			workers++
 			if c.now < h.lastHeard+8*time.Second {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -120,7 +120,7 @@
 
 func (c *Core) viewOf(p *part) PartView {
 	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.typ < 0 || !h.usable(c.now) && h.state != booting {
 			continue
 		}
@@ -141,7 +141,8 @@
 			v.Scarce = append(v.Scarce, o)
 		}
 	}
-	for id, s := range p.slices {
+	for _, id := range sorted(p.slices) {
+		s := p.slices[id]
 		if s.job.standing == Pending {
 			v.Show = append(v.Show, Shown{id, s.done.count(), s.running()})
 		}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -38,14 +38,15 @@
 		c.size(p)
 	}
 	c.record(p)
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		c.flushOrders(p, h)
 	}
 }
 
 // sweep looks for what events alone would miss.
 func (c *Core) sweep(p *part) {
-	for id, s := range p.slices {
+	for _, id := range sorted(p.slices) {
+		s := p.slices[id]
 		switch {
 		case s.job.standing != Pending:
 			if len(s.tasks) == 0 {
@@ -62,7 +63,7 @@
 			return
 		}
 	}
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		c.drain(p, h)
 	}
 }
@@ -73,8 +74,9 @@
 	if h.state != up || h.recall == 0 && !h.failed {
 		return
 	}
-	for _, t := range h.tasks {
-		if t.phase != onHost || t.halting {
+	for _, id := range sortedTasks(h.tasks) {
+		t := h.tasks[id]
+		if t == nil || t.phase != onHost || t.halting {
 			continue
 		}
 		j := t.job()
@@ -177,7 +179,7 @@
 	c.stats.Plans++
 	var all []device
 	var devices []*plan.Device
-	for _, h := range p.hosts {
+	for _, h := range p.hostList() {
 		if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
 			d := c.hostDevice(h)
 			all, devices = append(all, d), append(devices, d.Device)
@@ -338,7 +340,7 @@
 		if p.mine && p.loaded {
 			if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
 				p.devices, p.devicesAt = nil, c.now
-				for _, h := range p.hosts {
+				for _, h := range p.hostList() {
 					if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
 						p.devices = append(p.devices, c.hostDevice(h))
 					}
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -55,7 +55,8 @@
 
 func (s *slice) value() []byte {
 	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next}
-	for i, t := range s.tasks {
+	for _, i := range sorted(s.tasks) {
+		t := s.tasks[i]
 		v.Placed = append(v.Placed, placed{i, t.host.name, t.attempt})
 	}
 	b, _ := json.Marshal(v)
@@ -93,14 +94,16 @@
 		// Neither here nor there.
 	case value == nil:
 		// The job is over, or all of the slice went elsewhere.
-		for _, t := range s.tasks {
+		for _, i := range sorted(s.tasks) {
+			t := s.tasks[i]
 			c.makeStray(p, t)
 		}
 		delete(p.slices, id)
 		delete(p.dirty, id)
 	case stamp == s.stamp:
-		for _, t := range s.tasks {
-			if t.phase == placing {
+		for _, i := range sorted(s.tasks) {
+			t := s.tasks[i]
+			if t != nil && t.phase == placing {
 				c.unplace(p, t)
 			}
 		}
@@ -149,7 +152,8 @@
 			s.tasks[pl.Index] = t
 		}
 	}
-	for i, t := range old {
+	for _, i := range sorted(old) {
+		t := old[i]
 		if s.tasks[i] == t {
 			continue
 		}
@@ -159,7 +163,8 @@
 			c.makeStray(p, t)
 		}
 	}
-	for i, o := range s.settled {
+	for _, i := range sorted(s.settled) {
+		o := s.settled[i]
 		if inStore[i] {
 			continue
 		}
@@ -181,8 +186,9 @@
 // stopped, and the key goes once nothing is.
 func (c *Core) endSlice(p *part, s *slice) {
 	s.waiting = nil
-	for _, t := range s.tasks {
-		if t.phase == onHost {
+	for _, i := range sorted(s.tasks) {
+		t := s.tasks[i]
+		if t != nil && t.phase == onHost {
 			c.halt(p, t, 0)
 		}
 	}
@@ -314,8 +320,8 @@
 		return
 	}
 	token := p.token
-	for key, busy := range p.refreshing {
-		if busy {
+	for _, key := range sorted(p.refreshing) {
+		if p.refreshing[key] {
 			continue
 		}
 		p.refreshing[key] = true
@@ -380,7 +386,8 @@
 		quotas: map[*quota]map[string]grant{}}
 	w.txn.Guards = []Guard{{p.key(), p.stamp}}
 	size := 0
-	for id, s := range p.dirty {
+	for _, id := range sorted(p.dirty) {
+		s := p.dirty[id]
 		if len(w.txn.Apply)+3 > c.cfg.TxnOps || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
 			break
 		}
@@ -423,8 +430,9 @@
 	}
 	guard()
 	placingHere := false
-	for _, t := range s.tasks {
-		if t.phase != placing {
+	for _, i := range sorted(s.tasks) {
+		t := s.tasks[i]
+		if t == nil || t.phase != placing {
 			continue
 		}
 		// The grants may have changed since the task was planned: another part
@@ -489,7 +497,7 @@
 		w.txn.Guards = []Guard{{p.key(), p.stamp}, {j.key(), j.stamp}, {sliceKey(p.name, id), s.stamp}}
 		w.txn.Apply = []Set{{Key: j.key(), Value: value}, {Key: sliceKey(p.name, id)}}
 		left, all := 0, true
-		for zone := range j.split {
+		for _, zone := range sorted(j.split) {
 			if zone == p.name {
 				continue
 			}
--- /dev/null
+++ b/internal/fake/referee.go
@@ -0,0 +1,234 @@
+package fake
+
+import (
+	"fmt"
+	"time"
+
+	"roadcleat/internal/core"
+)
+
+// Job is a job of a user, with its true run time.
+type Job struct {
+	Spec      core.Spec
+	Run       time.Duration
+	Finished  map[int]bool
+	Accepted  bool
+	Told      core.Standing
+	Cancelled time.Duration // when the user was told, 0: not
+	AskedStop bool
+	DoneAt    time.Duration // when its last task completed
+	ToldDone  time.Duration
+}
+
+// Referee knows the rules and notes where they are broken.
+type Referee struct {
+	w      *World
+	where  map[core.TaskID]map[*Worker]bool
+	Broken []string
+	Starts int
+}
+
+func newReferee(w *World) *Referee {
+	r := &Referee{w: w, where: map[core.TaskID]map[*Worker]bool{}}
+	var tick func()
+	tick = func() {
+		r.overdue()
+		w.After(500*time.Millisecond, tick)
+	}
+	w.After(0, tick)
+	return r
+}
+
+func (r *Referee) broken(rule, format string, args ...any) {
+	r.Broken = append(r.Broken, fmt.Sprintf("%v %s: %s", r.w.Now, rule, fmt.Sprintf(format, args...)))
+}
+
+// on is called when a task starts on a machine.
+func (r *Referee) on(id core.TaskID, k *Worker) {
+	r.Starts++
+	job := r.w.Jobs[id.Job]
+	if len(r.where[id]) > 0 && !r.where[id][k] {
+		r.broken("ran_twice", "%v starts on %s", id, k.name)
+	}
+	if r.where[id] == nil {
+		r.where[id] = map[*Worker]bool{}
+	}
+	r.where[id][k] = true
+	r.place(job, id, k)
+	if job.Cancelled > 0 && r.w.Now > job.Cancelled+r.w.Cfg.Cancel {
+		r.broken("ran_cancelled", "%v starts on %s", id, k.name)
+	}
+	used := 0.0
+	for t, ks := range r.where {
+		if j := r.w.Jobs[t.Job]; j.Spec.Team == job.Spec.Team {
+			used += float64(len(ks)) * j.Spec.Need.Cores
+		}
+	}
+	for _, t := range r.w.Cfg.Teams {
+		if t.Name == job.Spec.Team && used > t.Limit.Cores+1e-6 {
+			r.broken("quota", "%s uses %g cores with %v", t.Name, used, id)
+		}
+	}
+}
+
+// place checks type, zone and kind against the job and its other tasks.
+func (r *Referee) place(job *Job, id core.TaskID, k *Worker) {
+	s := &job.Spec
+	wrong := s.Zone != "" && k.zone != s.Zone || k.spot && !s.Spot
+	if len(s.Types) > 0 {
+		found := false
+		for _, t := range s.Types {
+			found = found || t == k.typ
+		}
+		wrong = wrong || !found
+	}
+	same := 0
+	for t, ks := range r.where {
+		if t.Job != id.Job {
+			continue
+		}
+		for o := range ks {
+			if o.zone == k.zone {
+				same++
+			} else if s.OneZone {
+				wrong = true
+			}
+		}
+	}
+	if s.Apart && same > (s.Tasks+1)/2 {
+		wrong = true
+	}
+	if wrong {
+		r.broken("wrong_place", "%v starts on %s in %s", id, k.name, k.zone)
+	}
+}
+
+// off is called when a task is no longer on a machine.
+func (r *Referee) off(id core.TaskID, k *Worker) {
+	delete(r.where[id], k)
+	if len(r.where[id]) == 0 {
+		delete(r.where, id)
+	}
+}
+
+func (r *Referee) overdue() {
+	for id := range r.where {
+		job := r.w.Jobs[id.Job]
+		if job.Cancelled > 0 && r.w.Now > job.Cancelled+r.w.Cfg.Cancel {
+			r.broken("ran_cancelled", "%v is still on a machine", id)
+			job.Cancelled = 0
+		}
+	}
+}
+
+// told checks an answer to a user.
+func (r *Referee) told(id string, status int, s core.Standing) {
+	job := r.w.Jobs[id]
+	if job == nil {
+		if status == 200 {
+			r.broken("invented", "%s is answered 200", id)
+		}
+		return
+	}
+	switch {
+	case status == 404 || status == 400 || status == 422:
+		if job.Accepted {
+			r.broken("forgotten", "%s is answered %d", id, status)
+		}
+		return
+	case status != 200 && status != 201:
+		return
+	}
+	job.Accepted = true
+	over := job.Told == core.Complete || job.Told == core.Withdrawn
+	if over && s != job.Told || s == core.Withdrawn && !job.AskedStop {
+		r.broken("went_back", "%s was %d and is called %d", id, job.Told, s)
+	}
+	if s == core.Complete && len(job.Finished) < job.Spec.Tasks {
+		r.broken("not_done", "%s has %d of %d tasks done", id, len(job.Finished), job.Spec.Tasks)
+	}
+	if s == core.Withdrawn && job.Cancelled == 0 && job.Told != core.Withdrawn {
+		job.Cancelled = r.w.Now
+	}
+	if s == core.Complete && job.ToldDone == 0 {
+		job.ToldDone = r.w.Now
+	}
+	job.Told = s
+}
+
+// user asks a node and tells the referee what came back.
+func (w *World) user(n *Node, id string, make func(req uint64) any, then func(status int)) {
+	w.rpc("users", n.Name, 5*time.Second, core.Reply{}, func(answer func(any)) {
+		if !n.up {
+			answer(core.Reply{})
+			return
+		}
+		n.ask(make, answer)
+	}, func(v any) {
+		rep, _ := v.(core.Reply)
+		w.Referee.told(id, rep.Status, rep.Run.Standing)
+		then(rep.Status)
+	})
+}
+
+// Submit has a user submit a job, again and again until it is taken, and poll
+// it until it is over.
+func (w *World) Submit(spec core.Spec, run time.Duration) *Job {
+	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}}
+	w.Jobs[spec.ID] = job
+	var try func()
+	try = func() {
+		w.user(w.anyNode(), spec.ID, func(req uint64) any { return core.Submit{Req: req, Spec: spec} }, func(status int) {
+			if status == 200 || status == 201 {
+				w.poll(job)
+			} else if status != 400 && status != 422 {
+				w.After(time.Second, try)
+			}
+		})
+	}
+	try()
+	return job
+}
+
+func (w *World) anyNode() *Node {
+	for i := 0; i < 5; i++ {
+		if n := w.Nodes[w.Rng.IntN(len(w.Nodes))]; n.up {
+			return n
+		}
+	}
+	return w.Nodes[0]
+}
+
+func (w *World) poll(job *Job) {
+	w.user(w.anyNode(), job.Spec.ID, func(req uint64) any { return core.Poll{Req: req, ID: job.Spec.ID} }, func(int) {
+		if job.Told != core.Complete && job.Told != core.Withdrawn {
+			w.After(2*time.Second, func() { w.poll(job) })
+		}
+	})
+}
+
+// Stop has the job's user cancel it, repeated until it is answered.
+func (w *World) Stop(job *Job) {
+	job.AskedStop = true
+	w.user(w.anyNode(), job.Spec.ID, func(req uint64) any { return core.Withdraw{Req: req, ID: job.Spec.ID} }, func(status int) {
+		if status != 200 && status != 404 {
+			w.After(time.Second, func() { w.Stop(job) })
+		}
+	})
+}
+
+// Over says whether the job's user has been told that it has ended.
+func (j *Job) Over() bool { return j.Told == core.Complete || j.Told == core.Withdrawn }
+
+// On lists where a job's tasks run.
+func (w *World) On(id string) map[*Worker]int {
+	out := map[*Worker]int{}
+	for t, ks := range w.Referee.where {
+		if t.Job == id {
+			for k := range ks {
+				out[k]++
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fake/services.go
@@ -0,0 +1,387 @@
+package fake
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"roadcleat/internal/core"
+)
+
+// Store is the state service.
+type Store struct {
+	w       *World
+	rows    map[string]row
+	ledger  uint64
+	history []core.Item
+	leases  map[uint64]*lease
+	nextID  uint64
+	waits   []*watch
+
+	down    time.Duration            // refuses everybody until then
+	refused map[string]time.Duration // refuses one controller until then
+	// Lose, if set, is asked for each transaction: its reply may be lost, and
+	// it may be applied only after a while.
+	Lose func(node string, t core.Txn) (lost bool, late time.Duration)
+}
+
+type row struct {
+	value []byte
+	stamp uint64
+	lease uint64
+}
+
+type lease struct {
+	life time.Duration
+	ends time.Duration
+}
+
+type watch struct {
+	node   string
+	op     core.FollowOp
+	ends   time.Duration
+	answer func(any)
+}
+
+func newStore(w *World) *Store {
+	s := &Store{w: w, rows: map[string]row{}, leases: map[uint64]*lease{}, refused: map[string]time.Duration{}}
+	var tick func()
+	tick = func() {
+		s.expire()
+		s.serve()
+		w.After(20*time.Millisecond, tick)
+	}
+	tick()
+	return s
+}
+
+// Outage refuses everybody for a while; then every lease has its full time.
+func (s *Store) Outage(d time.Duration) {
+	s.w.Log("%v state outage for %v", s.w.Now, d)
+	s.down = max(s.down, s.w.Now+d)
+	s.w.After(s.down-s.w.Now, func() {
+		for _, l := range s.leases {
+			l.ends = s.w.Now + l.life
+		}
+	})
+}
+
+// Refuse refuses one controller for a while.
+func (s *Store) Refuse(node string, d time.Duration) {
+	s.w.Log("%v state refuses %s for %v", s.w.Now, node, d)
+	s.refused[node] = s.w.Now + d
+}
+
+func (s *Store) away(node string) bool { return s.w.Now < s.down || s.w.Now < s.refused[node] }
+
+func (s *Store) expire() {
+	if s.w.Now < s.down {
+		return
+	}
+	for id, l := range s.leases {
+		if s.w.Now <= l.ends {
+			continue
+		}
+		delete(s.leases, id)
+		var keys []string
+		for k, r := range s.rows {
+			if r.lease == id {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		if len(keys) > 0 {
+			s.ledger++
+			for _, k := range keys {
+				s.change(k, nil, 0)
+			}
+		}
+	}
+}
+
+func (s *Store) change(key string, value []byte, lease uint64) {
+	if value == nil {
+		delete(s.rows, key)
+	} else {
+		s.rows[key] = row{value, s.ledger, lease}
+	}
+	s.history = append(s.history, core.Item{Key: key, Value: value, Stamp: s.ledger})
+}
+
+// serve answers open watches that have something to say.
+func (s *Store) serve() {
+	var left []*watch
+	for _, x := range s.waits {
+		if s.away(x.node) {
+			left = append(left, x)
+			continue
+		}
+		var news []core.Item
+		for _, h := range s.history {
+			if h.Stamp > x.op.After && strings.HasPrefix(h.Key, x.op.Prefix) {
+				news = append(news, h)
+			}
+		}
+		if len(news) == 0 && s.w.Now < x.ends {
+			left = append(left, x)
+			continue
+		}
+		x.answer(core.FollowResult{Outcome: core.OK, Ledger: s.ledger, News: news})
+	}
+	s.waits = left
+}
+
+func (s *Store) commit(node string, t core.Txn, answer func(any)) {
+	if s.away(node) {
+		answer(core.CommitResult{Outcome: core.NotSent})
+		return
+	}
+	if s.Lose != nil {
+		if lost, late := s.Lose(node, t); lost {
+			s.w.After(late, func() {
+				if !s.away(node) {
+					s.apply(t)
+				}
+			})
+			return
+		}
+	}
+	answer(s.apply(t))
+}
+
+func (s *Store) apply(t core.Txn) core.CommitResult {
+	if len(t.Apply) > s.w.Cfg.TxnOps || len(t.Guards) > 4*s.w.Cfg.TxnOps {
+		panic(fmt.Sprintf("transaction over the limit: %d changes, %d guards", len(t.Apply), len(t.Guards)))
+	}
+	s.expire()
+	for _, a := range t.Apply {
+		if len(a.Value) > s.w.Cfg.ValueBytes {
+			panic("value over the limit: " + a.Key)
+		}
+		if a.Lease != 0 && s.leases[a.Lease] == nil {
+			return core.CommitResult{Outcome: core.Refused, NoLease: true}
+		}
+	}
+	var failed []string
+	for _, g := range t.Guards {
+		if s.rows[g.Key].stamp != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return core.CommitResult{Outcome: core.Refused, Failed: failed}
+	}
+	s.ledger++
+	for _, a := range t.Apply {
+		s.change(a.Key, a.Value, a.Lease)
+	}
+	s.serve()
+	return core.CommitResult{Outcome: core.OK, Revision: s.ledger}
+}
+
+func (s *Store) read(node, key string, answer func(any)) {
+	if s.away(node) {
+		answer(core.ReadResult{Outcome: core.NotSent})
+		return
+	}
+	s.expire()
+	r, ok := s.rows[key]
+	answer(core.ReadResult{Outcome: core.OK, Found: ok, Item: core.Item{Key: key, Value: r.value, Stamp: r.stamp}})
+}
+
+func (s *Store) list(node, prefix string, answer func(any)) {
+	if s.away(node) {
+		answer(core.ListResult{Outcome: core.NotSent})
+		return
+	}
+	s.expire()
+	res := core.ListResult{Outcome: core.OK, Ledger: s.ledger}
+	for k, r := range s.rows {
+		if strings.HasPrefix(k, prefix) {
+			res.Items = append(res.Items, core.Item{Key: k, Value: r.value, Stamp: r.stamp})
+		}
+	}
+	sort.Slice(res.Items, func(i, j int) bool { return res.Items[i].Key < res.Items[j].Key })
+	answer(res)
+}
+
+func (s *Store) follow(node string, op core.FollowOp, answer func(any)) {
+	if s.away(node) {
+		answer(core.FollowResult{Outcome: core.NotSent})
+		return
+	}
+	s.waits = append(s.waits, &watch{node, op, s.w.Now + op.Wait, answer})
+}
+
+func (s *Store) hold(node string, life time.Duration, answer func(any)) {
+	if s.away(node) {
+		answer(core.HoldResult{Outcome: core.NotSent})
+		return
+	}
+	s.nextID++
+	s.leases[s.nextID] = &lease{life, s.w.Now + life}
+	answer(core.HoldResult{Outcome: core.OK, Lease: s.nextID})
+}
+
+func (s *Store) renew(node string, id uint64, answer func(any)) {
+	if s.away(node) {
+		answer(core.RenewResult{Outcome: core.NotSent})
+		return
+	}
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		answer(core.RenewResult{Outcome: core.Refused})
+		return
+	}
+	l.ends = s.w.Now + l.life
+	answer(core.RenewResult{Outcome: core.OK})
+}
+
+// Cloud rents machines.
+type Cloud struct {
+	w       *World
+	Types   []core.MachineType
+	Room    map[string]int // machines left per "type/zone/spot"
+	down    time.Duration
+	granted map[string][]string
+	next    int
+	// LateHire, if set, delays a rental and loses its answer.
+	LateHire func(op core.HireOp) time.Duration
+	// BootS, if set, gives each machine's boot time; negative: never up.
+	BootS func(name string) float64
+}
+
+func newCloud(w *World) *Cloud {
+	c := &Cloud{w: w, granted: map[string][]string{}, Room: map[string]int{},
+		Types: []core.MachineType{
+			{Name: "small", Total: core.Amount{Cores: 4, Mem: 16}, CacheGB: 40, GBPerS: 0.5, Price: 0.4, SpotPrice: 0.15, BootS: 8, Zones: w.Cfg.Zones},
+			{Name: "large", Total: core.Amount{Cores: 16, Mem: 64}, CacheGB: 40, GBPerS: 0.5, Price: 1.2, SpotPrice: 0.4, BootS: 10, Zones: w.Cfg.Zones},
+		}}
+	for _, t := range c.Types {
+		for _, z := range w.Cfg.Zones {
+			c.Room[roomKey(t.Name, z, true)], c.Room[roomKey(t.Name, z, false)] = 2, 2
+		}
+	}
+	return c
+}
+
+func roomKey(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
+
+// Outage refuses all calls for a while.
+func (c *Cloud) Outage(d time.Duration) { c.down = c.w.Now + d }
+
+func (c *Cloud) away() bool { return c.w.Now < c.down }
+
+func (c *Cloud) catalog(answer func(any)) {
+	if c.away() {
+		answer(core.CatalogResult{Outcome: core.NotSent})
+		return
+	}
+	answer(core.CatalogResult{Outcome: core.OK, Types: c.Types})
+}
+
+func (c *Cloud) hire(op core.HireOp, answer func(any)) {
+	if c.away() {
+		answer(core.HireResult{Outcome: core.NotSent})
+		return
+	}
+	if c.LateHire != nil {
+		if d := c.LateHire(op); d > 0 {
+			c.w.After(d, func() { c.rent(op) })
+			return
+		}
+	}
+	answer(c.rent(op))
+}
+
+func (c *Cloud) rent(op core.HireOp) core.HireResult {
+	if names, again := c.granted[op.Name]; again {
+		return core.HireResult{Outcome: core.OK, Hosts: names}
+	}
+	k := roomKey(op.Type, op.Zone, op.Spot)
+	n := min(op.Number, c.Room[k])
+	if n == 0 {
+		return core.HireResult{Outcome: core.Refused}
+	}
+	c.Room[k] -= n
+	var names []string
+	for i := 0; i < n; i++ {
+		names = append(names, c.add(op.Type, op.Zone, op.Spot))
+	}
+	c.granted[op.Name] = names
+	return core.HireResult{Outcome: core.OK, Hosts: names}
+}
+
+func (c *Cloud) add(typ, zone string, spot bool) string {
+	name := fmt.Sprintf("vm-%06d", c.next)
+	c.next++
+	k := newWorker(c.w, name, typ, zone, spot)
+	c.w.Workers[name] = k
+	var boot float64
+	for _, t := range c.Types {
+		if t.Name == typ {
+			boot = t.BootS * (0.6 + 0.9*c.w.Rng.Float64())
+		}
+	}
+	if c.BootS != nil {
+		boot = c.BootS(name)
+	}
+	if boot >= 0 {
+		c.w.After(time.Duration(boot*float64(time.Second)), k.boot)
+	}
+	return name
+}
+
+func (c *Cloud) giveBack(names []string, answer func(any)) {
+	if c.away() {
+		answer(core.ReturnResult{Outcome: core.NotSent})
+		return
+	}
+	for _, n := range names {
+		if k := c.w.Workers[n]; k != nil {
+			c.Take(n)
+		}
+	}
+	answer(core.ReturnResult{Outcome: core.OK})
+}
+
+// Take removes a machine.
+func (c *Cloud) Take(name string) {
+	k := c.w.Workers[name]
+	if k == nil || k.deleted {
+		return
+	}
+	k.deleted = true
+	k.Die()
+	c.Room[roomKey(k.typ, k.zone, k.spot)]++
+}
+
+func (c *Cloud) list(answer func(any)) {
+	if c.away() {
+		answer(core.HostsResult{Outcome: core.NotSent})
+		return
+	}
+	res := core.HostsResult{Outcome: core.OK}
+	lag := c.w.Cfg.ListLag
+	for _, k := range c.w.Workers {
+		if k.born > c.w.Now-lag || k.deleted && k.diedAt < c.w.Now-lag {
+			continue
+		}
+		state := "running"
+		if !k.started {
+			state = "booting"
+		} else if k.gone && k.diedAt < c.w.Now-30*time.Second {
+			state = "failed"
+		}
+		addr := ""
+		if k.started {
+			addr = k.name
+		}
+		res.Hosts = append(res.Hosts, core.Listed{Name: k.name, Addr: addr, Type: k.typ, Zone: k.zone, Spot: k.spot,
+			State: state, HeldS: (c.w.Now - k.born).Seconds()})
+	}
+	sort.Slice(res.Hosts, func(i, j int) bool { return res.Hosts[i].Name < res.Hosts[j].Name })
+	answer(res)
+}
--- /dev/null
+++ b/internal/fake/world.go
@@ -0,0 +1,342 @@
+// Package fake is a world in memory for tests: network, state service, cloud,
+// workers and users in simulated time, with faults on demand and a referee who
+// knows the rules. Controllers in it are real cores.
+package fake
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"roadcleat/internal/core"
+)
+
+// World is one simulated day. Everything in it happens on one goroutine.
+type World struct {
+	Now     time.Duration
+	Rng     *rand.Rand
+	Nodes   []*Node
+	Store   *Store
+	Cloud   *Cloud
+	Workers map[string]*Worker
+	Jobs    map[string]*Job
+	Referee *Referee
+	Cfg     core.Config // what all controllers share
+	Log     func(format string, args ...any)
+
+	queue eventQueue
+	seq   int
+	cuts  map[[2]string]*cut
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// cut holds or drops packets between two hosts.
+type cut struct {
+	hold  bool
+	until time.Duration
+}
+
+// Settings of a small deployment: three zones with a controller each, and two
+// teams.
+func Settings() core.Config {
+	return core.Config{
+		Zones: []string{"a", "b", "c"},
+		Teams: []core.Team{
+			{Name: "red", Guarantee: core.Amount{Cores: 16}, Limit: core.Amount{Cores: 40}},
+			{Name: "blue", Guarantee: core.Amount{Cores: 8}, Limit: core.Amount{Cores: 16}},
+		},
+		Report: 3 * time.Second, Lease: 14 * time.Second, Cancel: 44 * time.Second, ListLag: 3 * time.Second,
+		TxnOps: 12, ValueBytes: 16 << 10,
+		Knobs: core.Knobs{FetchSPerGB: 5, Frontier: 32, KeepIdle: 25 * time.Second, Window: 40 * time.Second,
+			SpareShare: 0.2, SilentReturn: 14 * time.Second, Hold: 8 * time.Second, Grace: 2 * time.Second},
+	}
+}
+
+// New makes a world with its controllers started.
+func New(seed uint64, cfg core.Config) *World {
+	w := &World{Rng: rand.New(rand.NewPCG(seed, 1)), Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		cuts: map[[2]string]*cut{}, Cfg: cfg, Log: func(string, ...any) {}}
+	w.Referee = newReferee(w)
+	w.Store = newStore(w)
+	w.Cloud = newCloud(w)
+	for i, z := range cfg.Zones {
+		n := &Node{w: w, Name: fmt.Sprintf("node-%d", i), zone: z}
+		w.Nodes = append(w.Nodes, n)
+	}
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	return w
+}
+
+// After runs f when d has passed.
+func (w *World) After(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.Now + d, w.seq, f})
+}
+
+// Run lets time pass.
+func (w *World) Run(d time.Duration) {
+	end := w.Now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.f()
+	}
+	w.Now = end
+}
+
+// Until lets time pass until ok holds, for at most d, and says whether it does.
+func (w *World) Until(d time.Duration, ok func() bool) bool {
+	for end := w.Now + d; w.Now < end; {
+		if ok() {
+			return true
+		}
+		w.Run(100 * time.Millisecond)
+	}
+	return ok()
+}
+
+// Cut interrupts the network between two hosts, both ways. With hold, packets
+// are delivered when it ends; otherwise they are lost.
+func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	c := &cut{hold, w.Now + d}
+	w.cuts[[2]string{a, b}], w.cuts[[2]string{b, a}] = c, c
+	w.Log("%v cut %s-%s for %v hold=%v", w.Now, a, b, d, hold)
+}
+
+func (w *World) latency() time.Duration {
+	return time.Duration(500+w.Rng.IntN(2500)) * time.Microsecond
+}
+
+// packet carries f from one host to another.
+func (w *World) packet(from, to string, f func()) {
+	if c := w.cuts[[2]string{from, to}]; c != nil && w.Now < c.until {
+		if c.hold {
+			w.After(c.until-w.Now+w.latency(), f)
+		}
+		return
+	}
+	w.After(w.latency(), f)
+}
+
+// rpc calls a host: exec runs there and answers through its argument. When no
+// answer came in time, done gets unknown; what is under way stays under way.
+func (w *World) rpc(from, to string, timeout time.Duration, unknown any, exec func(answer func(any)), done func(any)) {
+	over := false
+	w.packet(from, to, func() {
+		exec(func(res any) {
+			w.packet(to, from, func() {
+				if !over {
+					over = true
+					done(res)
+				}
+			})
+		})
+	})
+	w.After(timeout, func() {
+		if !over {
+			over = true
+			done(unknown)
+		}
+	})
+}
+
+// Node is a controller process that can be killed and started again.
+type Node struct {
+	Name string
+	Core *core.Core
+	w    *World
+	zone string
+	life int
+	up   bool
+	reqs uint64
+	wait map[uint64]func(any)
+}
+
+// Start starts the process.
+func (n *Node) Start() {
+	if n.up {
+		return
+	}
+	n.up = true
+	n.life++
+	cfg := n.w.Cfg
+	cfg.Label, cfg.Zone, cfg.Boot, cfg.Seed = n.Name, n.zone, uint64(n.life), uint64(len(n.Name))
+	for _, o := range n.w.Nodes {
+		if o != n {
+			cfg.Peers = append(cfg.Peers, core.Peer{Label: o.Name, Zone: o.zone})
+		}
+	}
+	n.Core, n.wait = core.New(cfg), map[uint64]func(any){}
+	life := n.life
+	var tick func()
+	tick = func() {
+		if n.up && n.life == life {
+			n.settle()
+			n.w.After(50*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+// Crash kills the process; what it sent stays under way.
+func (n *Node) Crash() {
+	n.w.Log("%v crash %s", n.w.Now, n.Name)
+	n.up = false
+}
+
+// Restart kills the process and starts it again after a while.
+func (n *Node) Restart(after time.Duration) {
+	n.Crash()
+	n.w.After(after, n.Start)
+}
+
+func (n *Node) settle() { n.carryOut(n.Core.Settle(n.w.Now)) }
+
+func (n *Node) handle(ev any) {
+	n.carryOut(n.Core.Handle(n.w.Now, ev))
+	n.settle()
+}
+
+// ask puts a request to the node; answer is not called if it dies first.
+func (n *Node) ask(make func(req uint64) any, answer func(any)) {
+	n.reqs++
+	n.wait[n.reqs] = answer
+	n.handle(make(n.reqs))
+}
+
+func (n *Node) carryOut(effects []any) {
+	for _, e := range append([]any(nil), effects...) {
+		switch e := e.(type) {
+		case core.Call:
+			n.call(e)
+		case core.Reply:
+			n.answer(e.Req, e)
+		case core.BeatReply:
+			n.answer(e.Req, e)
+		case core.Tell:
+			n.tell(e)
+		case core.Note:
+			n.w.Log("%v %s %s %v", n.w.Now, n.Name, e.Text, e.Args)
+		}
+	}
+}
+
+func (n *Node) answer(req uint64, v any) {
+	if f := n.wait[req]; f != nil {
+		delete(n.wait, req)
+		f(v)
+	}
+}
+
+func (n *Node) tell(t core.Tell) {
+	var to *Node
+	i := 0
+	for _, o := range n.w.Nodes {
+		if o == n {
+			continue
+		}
+		if i == t.To {
+			to = o
+		}
+		i++
+	}
+	from := 0
+	for _, o := range n.w.Nodes {
+		if o == n {
+			break
+		}
+		if o != to {
+			from++
+		}
+	}
+	life := to.life
+	n.w.packet(n.Name, to.Name, func() {
+		if to.up && to.life == life {
+			to.handle(core.PeerMessage{From: from, Message: t.Message})
+		}
+	})
+}
+
+// call carries out a core's call to the outside.
+func (n *Node) call(c core.Call) {
+	life := n.life
+	done := func(res any) {
+		if n.up && n.life == life {
+			n.handle(core.Answer{ID: c.ID, Result: res})
+		}
+	}
+	const wait = 2 * time.Second
+	w := n.w
+	store := func(timeout time.Duration, unknown any, exec func(func(any))) {
+		w.rpc(n.Name, "state", timeout, unknown, exec, done)
+	}
+	switch op := c.Op.(type) {
+	case core.CommitOp:
+		store(wait, core.CommitResult{}, func(a func(any)) { w.Store.commit(n.Name, op.Txn, a) })
+	case core.ReadOp:
+		store(wait, core.ReadResult{}, func(a func(any)) { w.Store.read(n.Name, op.Key, a) })
+	case core.ListOp:
+		store(wait, core.ListResult{}, func(a func(any)) { w.Store.list(n.Name, op.Prefix, a) })
+	case core.FollowOp:
+		store(op.Wait+wait, core.FollowResult{}, func(a func(any)) { w.Store.follow(n.Name, op, a) })
+	case core.HoldOp:
+		store(wait, core.HoldResult{}, func(a func(any)) { w.Store.hold(n.Name, op.Life, a) })
+	case core.RenewOp:
+		store(wait, core.RenewResult{}, func(a func(any)) { w.Store.renew(n.Name, op.Lease, a) })
+	case core.CatalogOp:
+		w.rpc(n.Name, "cloud", 4*time.Second, core.CatalogResult{}, w.Cloud.catalog, done)
+	case core.HostsOp:
+		w.rpc(n.Name, "cloud", 4*time.Second, core.HostsResult{}, w.Cloud.list, done)
+	case core.HireOp:
+		w.rpc(n.Name, "cloud", 4*time.Second, core.HireResult{}, func(a func(any)) { w.Cloud.hire(op, a) }, done)
+	case core.ReturnOp:
+		w.rpc(n.Name, "cloud", 4*time.Second, core.ReturnResult{}, func(a func(any)) { w.Cloud.giveBack(op.Hosts, a) }, done)
+	case core.OrdersOp:
+		w.rpc(n.Name, hostOf(op.Addr), 3*time.Second, core.WorkerResult{}, func(a func(any)) {
+			w.reach(op.Addr, func(k *Worker) { k.direct(op, a) })
+		}, done)
+	case core.ShowOp:
+		w.rpc(n.Name, hostOf(op.Addr), 3*time.Second, core.WorkerResult{}, func(a func(any)) {
+			w.reach(op.Addr, func(k *Worker) { r := k.report(); a(core.WorkerResult{Outcome: core.OK, Report: &r}) })
+		}, done)
+	}
+}
+
+// hostOf is the host behind a worker's address; here they have one name.
+func hostOf(addr string) string { return addr }
+
+// reach runs f on a worker when it can: at once, or when it stops hanging.
+func (w *World) reach(addr string, f func(*Worker)) {
+	k := w.Workers[addr]
+	switch {
+	case k == nil || k.gone:
+	case w.Now < k.hangUntil:
+		w.After(k.hangUntil-w.Now+time.Millisecond, func() { w.reach(addr, f) })
+	default:
+		k.expire()
+		f(k)
+	}
+}
