--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -354,6 +354,7 @@
 	Slices []Item // slice/ keys as just written
 	Freed  []string
 	Grants []string // teams whose idle grants the sender needs
+	Quotas []Item   // quota/ keys as just written
 }
 
 // Gossip is what a controller tells the others twice a second.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -17,11 +17,8 @@
 	moves    int
 	team     int
 	class    int
-	image    int // -1: none
-	types    map[int]bool
+	image    int           // -1: none
 	holdTo   time.Duration // no launches before, after workers refused it
-	moveAt   time.Duration
-	learned  time.Duration
 }
 
 // jobValue is a job as the state service holds it. The split is how its tasks
@@ -68,12 +65,7 @@
 		return nil
 	}
 	if j == nil {
-		v.Spec.ID = id
-		j = &job{id: id, spec: v.Spec, born: stamp, image: -1, learned: c.now}
-		j.team, j.class = c.teams.known(v.Spec.Team), c.classes.of(v.Spec.Class)
-		if v.Spec.Image != "" {
-			j.image = c.images.of(v.Spec.Image)
-		}
+		j = c.newJob(id, v.Spec, stamp)
 		c.jobs[id] = j
 	}
 	j.stamp, j.split, j.moves = stamp, v.Split, v.Moves
@@ -98,6 +90,15 @@
 	return j
 }
 
+func (c *Core) newJob(id string, spec Spec, stamp uint64) *job {
+	spec.ID = id
+	j := &job{id: id, spec: spec, born: stamp, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
+	if spec.Image != "" {
+		j.image = c.images.of(spec.Image)
+	}
+	return j
+}
+
 // finalise records that a job is over.
 func (c *Core) finalise(id string, s Standing) {
 	c.final[id] = s
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -410,8 +410,15 @@
 					if jr.Outcome != OK || !jr.Found {
 						failed = true
 					} else {
-						c.learnJob(id, jr.Item.Value, jr.Item.Stamp)
-						c.adoptSlice(p, id, it.Value, it.Stamp)
+						if j := c.learnJob(id, jr.Item.Value, jr.Item.Stamp); j != nil {
+							c.adoptSliceOf(p, j, it.Value, it.Stamp)
+						} else if s, over := c.final[id]; over {
+							var v jobValue
+							_ = json.Unmarshal(jr.Item.Value, &v) // at worst the job has no team
+							j := c.newJob(id, v.Spec, jr.Item.Stamp)
+							j.standing = s
+							c.adoptSliceOf(p, j, it.Value, it.Stamp)
+						}
 					}
 				}
 				done()
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -52,6 +52,11 @@
 			c.rereadPart(c.parts[z])
 		}
 	}
+	for _, it := range m.Quotas {
+		if t := c.teams.known(strings.TrimPrefix(it.Key, "quota/")); t >= 0 {
+			c.learnQuota(c.quotas[t], true, it.Value, it.Stamp)
+		}
+	}
 	for _, team := range m.Grants {
 		if t := c.teams.known(team); t >= 0 {
 			for _, q := range c.parts {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -189,7 +189,7 @@
 	for _, s := range ready {
 		j := s.job
 		quota := c.room(p, j.team, j.spec.Need)
-		if quota == 0 && c.quotas[j.team].known {
+		if quota < s.waiting.count() && c.quotas[j.team].known {
 			c.wantGrants(j.team)
 		}
 		// Placed tasks are listed one by one in the slice's value.
@@ -209,7 +209,9 @@
 			p.shortage = append(p.shortage, need{j, n})
 			continue
 		}
-		s.next++ // the tasks of a gang know each other by their common attempt
+		if j.spec.Gang && n > 0 {
+			s.next++ // the tasks of a gang know each other by their common attempt
+		}
 		for k, pl := range starts {
 			h := all[pl.Device].host
 			if pl.Start > now+soon || h.state != up {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -15,9 +15,27 @@
 	stamp  uint64
 	grants map[string]grant
 	askAt  time.Duration
+	// What a part of mine may still rely on after it asked to give grants back
+	// and nobody can tell whether that was or will be carried out: such a
+	// transaction may be applied as long as the key keeps its stamp.
+	capped map[string]cap
 	idleAt map[string]time.Duration
 }
 
+type cap struct {
+	stamp uint64
+	grant grant
+}
+
+// mine is what the part may count on.
+func (q *quota) mine(part string) grant {
+	g := q.grants[part]
+	if c, ok := q.capped[part]; ok && c.stamp == q.stamp {
+		return grant{min(g.Cores, c.grant.Cores), min(g.Cards, c.grant.Cards)}
+	}
+	return g
+}
+
 type grant struct {
 	Cores float64 `json:"c"`
 	Cards float64 `json:"g"`
@@ -49,6 +67,13 @@
 	}
 }
 
+func (c *Core) learnQuota(q *quota, found bool, value []byte, stamp uint64) {
+	q.learn(found, value, stamp)
+	for _, p := range c.parts {
+		p.replan = true
+	}
+}
+
 func (c *Core) readQuota(q *quota) {
 	if q.busy {
 		return
@@ -57,10 +82,7 @@
 	c.read(q.key(), true, func(res ReadResult) {
 		q.busy = false
 		if res.Outcome == OK {
-			q.learn(res.Found, res.Item.Value, res.Item.Stamp)
-			for _, p := range c.parts {
-				p.replan = true
-			}
+			c.learnQuota(q, res.Found, res.Item.Value, res.Item.Stamp)
 		}
 	})
 }
@@ -89,7 +111,8 @@
 func (c *Core) grow(p *part, team int) (map[string]grant, bool) {
 	q, lim := c.quotas[team], c.limits[team].Limit
 	mine, used, sum := q.grants[p.name], p.used[team], q.sum()
-	if used.Cores <= mine.Cores+1e-6 && used.Cards <= mine.Cards+1e-6 {
+	sure := q.mine(p.name)
+	if used.Cores <= sure.Cores+1e-6 && used.Cards <= sure.Cards+1e-6 {
 		return nil, false
 	}
 	want := mine
@@ -154,20 +177,26 @@
 	if next[p.name] = (grant{used.Cores, used.Cards}); used.Cores <= 1e-6 && used.Cards <= 1e-6 {
 		delete(next, p.name)
 	}
+	if q.capped == nil {
+		q.capped = map[string]cap{}
+	}
+	q.capped[p.name] = cap{q.stamp, next[p.name]}
 	value, _ := json.Marshal(next)
-	w := &writing{part: p, quotas: map[*quota]map[string]grant{q: next}}
+	w := &writing{part: p, shrinks: q, quotas: map[*quota]map[string]grant{q: next}}
 	w.txn = Txn{Guards: []Guard{{p.key(), p.stamp}, {q.key(), q.stamp}}, Apply: []Set{{Key: q.key(), Value: value}}}
 	c.write(w)
 	return true
 }
 
-// wantGrants asks the other parts for idle grants of a team.
+// wantGrants asks the other parts for idle grants of a team, and looks at what
+// holds: grants given back are told, but words can be lost.
 func (c *Core) wantGrants(team int) {
 	q := c.quotas[team]
 	if c.now < q.askAt {
 		return
 	}
 	q.askAt = c.now + time.Second
+	c.readQuota(q)
 	c.tellAll(Message{Grants: []string{q.team}})
 	for _, p := range c.parts {
 		if p.mine && p.loaded && c.giveBack(p, team, true) {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -65,14 +65,15 @@
 
 // adoptSlice takes a slice that this controller has no memory of.
 func (c *Core) adoptSlice(p *part, id string, value []byte, stamp uint64) {
-	j := c.jobs[id]
-	if j == nil {
-		s, over := c.final[id]
-		if !over {
-			return
-		}
-		j = &job{id: id, standing: s, team: -1, image: -1, spec: Spec{ID: id}}
+	if j := c.jobs[id]; j != nil {
+		c.adoptSliceOf(p, j, value, stamp)
 	}
+}
+
+// adoptSliceOf also takes slices of jobs that are over: what is left of them
+// on machines still counts against the team's limit.
+func (c *Core) adoptSliceOf(p *part, j *job, value []byte, stamp uint64) {
+	id := j.id
 	if p.slices[id] != nil {
 		return
 	}
@@ -204,6 +205,7 @@
 	settled map[*slice]map[int]outcome
 	placing []*task
 	quotas  map[*quota]map[string]grant
+	shrinks *quota // grants are given back
 	done    []*job
 	news    []Item
 	drops   []string
@@ -226,11 +228,19 @@
 	switch res.Outcome {
 	case OK:
 		p.committing = false
-		for q, g := range w.quotas {
-			if res.Revision > q.stamp {
-				q.stamp, q.grants = res.Revision, g
+		var quotas []Item
+		for _, q := range c.quotas {
+			if g, ok := w.quotas[q]; ok {
+				if res.Revision > q.stamp {
+					q.stamp, q.grants = res.Revision, g
+				}
+				value, _ := json.Marshal(g)
+				quotas = append(quotas, Item{q.key(), value, res.Revision})
 			}
 		}
+		if len(quotas) > 0 {
+			c.tellAll(Message{Quotas: quotas})
+		}
 		for id, s := range w.slices {
 			s.stamp = max(s.stamp, res.Revision)
 			for i, o := range w.settled[s] {
@@ -274,6 +284,9 @@
 			p.retryAt = c.now + 300*time.Millisecond
 		}
 	case NotSent:
+		if w.shrinks != nil {
+			delete(w.shrinks.capped, p.name)
+		}
 		c.takeBack(w)
 		p.committing = false
 		p.retryAt = c.now + 300*time.Millisecond
@@ -361,7 +374,7 @@
 		}
 	case "quota":
 		if t := c.teams.known(rest); t >= 0 {
-			c.quotas[t].learn(res.Found, res.Item.Value, res.Item.Stamp)
+			c.learnQuota(c.quotas[t], res.Found, res.Item.Value, res.Item.Stamp)
 		}
 	case "slice":
 		zone, id, _ := strings.Cut(rest, "/")
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -66,7 +66,14 @@
 	}
 	for _, t := range r.w.Cfg.Teams {
 		if t.Name == job.Spec.Team && used > t.Limit.Cores+1e-6 {
-			r.broken("quota", "%s uses %g cores with %v", t.Name, used, id)
+			r.broken("quota", "%s uses %g cores with %v on %s", t.Name, used, id, k.name)
+			for x, ks := range r.where {
+				for o := range ks {
+					if j := r.w.Jobs[x.Job]; j.Spec.Team == t.Name {
+						r.w.Log("in use: %v on %s in %s: %g", x, o.name, o.zone, j.Spec.Need.Cores)
+					}
+				}
+			}
 		}
 	}
 }
@@ -121,8 +128,22 @@
 	}
 }
 
+// known is what a user had been told when a request was sent; an answer may
+// not be older than that.
+type known struct {
+	accepted bool
+	told     core.Standing
+}
+
+func (r *Referee) known(id string) known {
+	if job := r.w.Jobs[id]; job != nil {
+		return known{job.Accepted, job.Told}
+	}
+	return known{}
+}
+
 // told checks an answer to a user.
-func (r *Referee) told(id string, status int, s core.Standing) {
+func (r *Referee) told(id string, status int, s core.Standing, before known) {
 	job := r.w.Jobs[id]
 	if job == nil {
 		if status == 200 {
@@ -132,7 +153,7 @@
 	}
 	switch {
 	case status == 404 || status == 400 || status == 422:
-		if job.Accepted {
+		if before.accepted {
 			r.broken("forgotten", "%s is answered %d", id, status)
 		}
 		return
@@ -140,8 +161,8 @@
 		return
 	}
 	job.Accepted = true
-	over := job.Told == core.Complete || job.Told == core.Withdrawn
-	if over && s != job.Told || s == core.Withdrawn && !job.AskedStop {
+	over := before.told == core.Complete || before.told == core.Withdrawn
+	if over && s != before.told || s == core.Withdrawn && !job.AskedStop {
 		r.broken("went_back", "%s was %d and is called %d", id, job.Told, s)
 	}
 	if s == core.Complete && len(job.Finished) < job.Spec.Tasks {
@@ -153,11 +174,14 @@
 	if s == core.Complete && job.ToldDone == 0 {
 		job.ToldDone = r.w.Now
 	}
-	job.Told = s
+	if !over && (s == core.Complete || s == core.Withdrawn || !job.Over()) {
+		job.Told = s
+	}
 }
 
 // user asks a node and tells the referee what came back.
 func (w *World) user(n *Node, id string, make func(req uint64) any, then func(status int)) {
+	before := w.Referee.known(id)
 	w.rpc("users", n.Name, 5*time.Second, core.Reply{}, func(answer func(any)) {
 		if !n.up {
 			answer(core.Reply{})
@@ -166,7 +190,7 @@
 		n.ask(make, answer)
 	}, func(v any) {
 		rep, _ := v.(core.Reply)
-		w.Referee.told(id, rep.Status, rep.Run.Standing)
+		w.Referee.told(id, rep.Status, rep.Run.Standing, before)
 		then(rep.Status)
 	})
 }
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -20,7 +20,9 @@
 // trouble makes one random fault happen now.
 func trouble(w *World) {
 	r := w.Rng
-	sec := func(lo, hi int) time.Duration { return time.Duration((lo*1000)+r.IntN((hi-lo)*1000)) * time.Millisecond }
+	sec := func(lo, hi int) time.Duration {
+		return time.Duration((lo*1000)+r.IntN((hi-lo)*1000)) * time.Millisecond
+	}
 	node := w.Nodes[r.IntN(len(w.Nodes))]
 	other := w.Nodes[r.IntN(len(w.Nodes))]
 	var alive []string
@@ -177,6 +179,11 @@
 		for _, j := range jobs {
 			if !j.Over() {
 				wrong = append(wrong, fmt.Sprintf("%s is not over: %d of %d tasks done", j.Spec.ID, len(j.Finished), j.Spec.Tasks))
+				for _, n := range w.Nodes {
+					if e, ok := n.Core.Explain(j.Spec.ID); ok {
+						w.Log("%s at %s: %+v", j.Spec.ID, n.Name, e)
+					}
+				}
 			}
 		}
 	}
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -175,6 +175,9 @@
 	s.ledger++
 	for _, a := range t.Apply {
 		s.change(a.Key, a.Value, a.Lease)
+		if strings.HasPrefix(a.Key, "quota/") {
+			s.w.Log("%v store %s %s @%d", s.w.Now, a.Key, a.Value, s.ledger)
+		}
 	}
 	s.serve()
 	return core.CommitResult{Outcome: core.OK, Revision: s.ledger}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -208,6 +208,7 @@
 func (k *Worker) launch(o core.Order, old *running) {
 	t := &running{id: o.Task, attempt: o.Attempt, state: core.Fetching}
 	job := k.w.Jobs[o.Task.Job]
+	k.w.Log("%v %s launches %v attempt %d", k.w.Now, k.name, o.Task, o.Attempt)
 	k.dirty = true
 	if old != nil && old.state != core.Ended {
 		return // in_use: the entry of the attempt that is there stays
@@ -272,6 +273,7 @@
 }
 
 func (k *Worker) end(t *running, cause int) {
+	k.w.Log("%v %s ends %v attempt %d cause %d", k.w.Now, k.name, t.id, t.attempt, cause)
 	if t.state == core.Running || t.state == core.Saving {
 		k.w.Referee.off(t.id, k)
 	}
