--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -400,6 +400,8 @@
 		if r, ok := h.reported[id]; ok && r.Attempt == t.attempt {
 			c.taskShown(p, h, t, r)
 			continue
+		} else if ok && r.State != Ended {
+			continue // another attempt of it is there: the task has not left
 		}
 		_, flying := h.unsure[launchKey{id, t.attempt}]
 		if h.token < p.tenure || flying || h.busy {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -81,15 +81,24 @@
 			c.adoptSlice(p, id, sv, stamp)
 			continue
 		}
-		c.read(sliceKey(zone, id), true, func(res ReadResult) {
-			if res.Outcome == OK && res.Found && p.mine && p.loaded {
-				c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
-			}
-		})
+		c.readSlice(p, id)
 	}
 	return j
 }
 
+// readSlice takes up a slice that the part should have.
+func (c *Core) readSlice(p *part, id string) {
+	c.read(sliceKey(p.name, id), true, func(res ReadResult) {
+		switch {
+		case !p.mine || !p.loaded:
+		case res.Outcome != OK:
+			p.loaded = false // the slices are listed again
+		case res.Found:
+			c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
+		}
+	})
+}
+
 func (c *Core) newJob(id string, spec Spec, stamp uint64) *job {
 	spec.ID = id
 	j := &job{id: id, spec: spec, born: stamp, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -140,6 +140,9 @@
 				c.listedParts(res.Items)
 			} else {
 				c.rereadLive()
+				for _, p := range c.parts {
+					p.loaded = false // its slices are listed again
+				}
 			}
 		})
 		return
@@ -354,6 +357,9 @@
 		p.used = make([]Amount, len(c.limits))
 		p.committing = false
 		c.listAt = 0
+		for _, q := range c.quotas {
+			q.need, q.needAt = true, c.now
+		}
 	}
 	c.note(1, "part claimed", "part", p.name, "token", p.token, "again", again)
 	for _, h := range p.hostList() {
@@ -381,6 +387,12 @@
 		left := len(res.Items)
 		finish := func() {
 			p.loading, p.loaded, p.replan, p.loadedAt = false, true, true, c.now
+			// Jobs that came after the listing, and were heard of before this.
+			for _, id := range sorted(c.jobs) {
+				if _, here := c.jobs[id].split[p.name]; here && p.slices[id] == nil {
+					c.readSlice(p, id)
+				}
+			}
 			c.note(1, "part loaded", "part", p.name, "token", p.token, "slices", len(p.slices))
 		}
 		if left == 0 {
@@ -393,12 +405,7 @@
 				return
 			}
 			if failed {
-				p.loading = false
-				p.slices, p.dirty = map[string]*slice{}, map[string]*slice{}
-				p.used = make([]Amount, len(c.limits))
-				for _, h := range p.hostList() {
-					h.tasks = map[TaskID]*task{}
-				}
+				p.loading = false // tried again; what was adopted stays
 				return
 			}
 			finish()
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -15,6 +15,10 @@
 	stamp  uint64
 	grants map[string]grant
 	askAt  time.Duration
+	// A new owner relies on nothing it knew of grants before its claim: another
+	// owner may have given its part's grant back meanwhile.
+	needAt time.Duration
+	need   bool
 	// What a part of mine may still rely on after it asked to give grants back
 	// and nobody can tell whether that was or will be carried out: such a
 	// transaction may be applied as long as the key keeps its stamp.
@@ -79,9 +83,13 @@
 		return
 	}
 	q.busy = true
+	started := c.now
 	c.read(q.key(), true, func(res ReadResult) {
 		q.busy = false
 		if res.Outcome == OK {
+			if started >= q.needAt {
+				q.need = false
+			}
 			c.learnQuota(q, res.Found, res.Item.Value, res.Item.Stamp)
 		}
 	})
@@ -91,7 +99,7 @@
 // the part's grant and what nobody holds.
 func (c *Core) room(p *part, team int, need Amount) int {
 	q, lim := c.quotas[team], c.limits[team].Limit
-	if !q.known {
+	if !q.known || q.need {
 		c.readQuota(q)
 		return 0
 	}
@@ -134,7 +142,7 @@
 // fits into its grant, or will once the grant has grown.
 func (c *Core) granted(p *part, team int, w *writing) bool {
 	q, used := c.quotas[team], p.used[team]
-	if !q.known {
+	if !q.known || q.need {
 		return false
 	}
 	g, ok := w.quotas[q]
@@ -151,7 +159,7 @@
 // asks for it, otherwise after it has been idle for a while.
 func (c *Core) giveBack(p *part, team int, now bool) bool {
 	q := c.quotas[team]
-	if !q.known || q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
+	if !q.known || q.need || q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
 		return false
 	}
 	mine, used, lim := q.grants[p.name], p.used[team], c.limits[team].Limit
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -74,7 +74,10 @@
 // on machines still counts against the team's limit.
 func (c *Core) adoptSliceOf(p *part, j *job, value []byte, stamp uint64) {
 	id := j.id
-	if p.slices[id] != nil {
+	if s := p.slices[id]; s != nil {
+		if stamp > s.stamp {
+			c.reconcile(p, s, value, stamp)
+		}
 		return
 	}
 	s := &slice{job: j, tasks: map[int]*task{}, settled: map[int]outcome{}}
@@ -148,10 +151,13 @@
 		h := c.hostNamed(p, pl.Host)
 		t := &task{id: TaskID{s.job.id, pl.Index}, slice: s, host: h, attempt: pl.Attempt, phase: onHost,
 			inherited: true, need: s.job.spec.Need, team: s.job.team, since: c.now}
-		if h.tasks[t.id] == nil {
-			c.occupy(p, t)
-			s.tasks[pl.Index] = t
+		if other := h.tasks[t.id]; other != nil {
+			// A worker holds one attempt of a task at most; what is there of an
+			// earlier one keeps this one on the host until it is gone too.
+			c.vacate(p, other)
 		}
+		c.occupy(p, t)
+		s.tasks[pl.Index] = t
 	}
 	for _, i := range sorted(old) {
 		t := old[i]
