--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -71,6 +71,28 @@
 	return [...]string{Fetching: "fetching its image", Gathering: "waiting for its gang", Running: "running", Saving: "saving", Ended: "ended"}[t.state]
 }
 
+// Residents lists what this controller holds for on machines, for tests and logs.
+func (c *Core) Residents() []string {
+	var out []string
+	for _, p := range c.parts {
+		if !p.mine {
+			continue
+		}
+		for t, u := range p.used {
+			if u.Cores > 1e-6 {
+				out = append(out, fmt.Sprintf("%s: %s uses %g cores", p.name, c.limits[t].Name, u.Cores))
+			}
+		}
+		for _, h := range p.hostList() {
+			for _, id := range sortedTasks(h.tasks) {
+				t := h.tasks[id]
+				out = append(out, fmt.Sprintf("%s: %v attempt %d on %s (%s, host state %d)", p.name, id, t.attempt, h.name, t.stateName(), h.state))
+			}
+		}
+	}
+	return out
+}
+
 // whyWaiting names the first thing that a slice's waiting tasks wait for.
 func (c *Core) whyWaiting(p *part, s *slice) string {
 	switch {
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -431,7 +431,11 @@
 	}
 	c.note(1, "host has a new session", "host", h.name, "part", p.name, "session", session)
 	if p.loaded {
-		c.settleAll(p, h, func(t *task) bool { return t.sent || t.inherited })
+		// What an earlier owner launched was launched before the worker knew my
+		// token. Only if it knew it in the session that ended was that before
+		// the new session too: the first report I saw may have been a late one.
+		known := h.acked > 0
+		c.settleAll(p, h, func(t *task) bool { return t.sent || t.inherited && known })
 	}
 	clear(h.images)
 	clear(h.fetching)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -159,7 +159,11 @@
 // asks for it, otherwise after it has been idle for a while.
 func (c *Core) giveBack(p *part, team int, now bool) bool {
 	q := c.quotas[team]
-	if !q.known || q.need || q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
+	if !q.known || q.need {
+		c.readQuota(q)
+		return false
+	}
+	if q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
 		return false
 	}
 	mine, used, lim := q.grants[p.name], p.used[team], c.limits[team].Limit
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -187,6 +187,9 @@
 			}
 		}
 	}
+	for _, n := range w.Nodes {
+		w.Log("%s holds %q", n.Name, n.Core.Residents())
+	}
 	w.Run(time.Minute)
 	return append(wrong, w.Referee.Broken...)
 }
