--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -232,6 +232,7 @@
 		h.typ, h.spot = r.typ, r.op.Spot
 		h.hiredAt = r.asked
 		h.eta = r.asked + duration(c.types[r.typ].BootS*1.1)
+		h.giveUp = r.asked + c.patience(c.types[r.typ].BootS)
 		if h.session == 0 {
 			h.state = booting
 		}
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -27,6 +27,7 @@
 	state      int
 
 	hiredAt, eta time.Duration
+	giveUp       time.Duration // when a machine that has not come up is returned
 	since        time.Duration // when it became known here or came up
 	session, seq uint64
 	beatSeq      uint64 // of the newest report that came by itself
@@ -746,7 +747,7 @@
 func (c *Core) wantBack(p *part, h *host, deaf bool) bool {
 	switch h.state {
 	case booting:
-		return c.now > h.eta+max(2*(h.eta-h.hiredAt), 30*time.Second)
+		return c.now > h.giveUp
 	case returning:
 		return h.returnAt > 0 && c.now >= h.returnAt
 	case up:
@@ -838,6 +839,7 @@
 				}
 				h.eta = h.hiredAt + duration(c.bootS(l.Type))
 				h.eta = max(h.eta, c.now+2*time.Second)
+				h.giveUp = max(h.hiredAt+c.patience(c.bootS(l.Type)), c.now+5*time.Second)
 				c.note(1, "host adopted", "host", h.name, "part", p.name, "state", l.State)
 			}
 			if h.addr == "" {
@@ -853,6 +855,10 @@
 	})
 }
 
+// patience is how long a machine may boot: some take several times as long as
+// others, a few never come up.
+func (c *Core) patience(bootS float64) time.Duration { return duration(2.5*bootS + 10) }
+
 func (c *Core) bootS(typ string) float64 {
 	if i := c.typeIdx.known(typ); i >= 0 {
 		return c.types[i].BootS * 1.2
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -61,8 +61,9 @@
 		if k.gone {
 			return
 		}
+		// A hanging machine may go on with its tasks only within its lease.
+		k.expire()
 		if k.w.Now >= k.hangUntil {
-			k.expire()
 			k.maybeBeat()
 		}
 		k.w.After(100*time.Millisecond, tick)
