--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,7 @@
 	shown          map[string][]Shown
 	classRatio     []float64 // observed over estimated run time, by class
 	sPerGB         map[int]float64
+	kinds          []classKinds // by class
 	tickAt, sizeAt time.Duration
 	stats          Stats
 }
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -128,7 +128,9 @@
 	if short <= 0 {
 		return
 	}
-	for _, o := range c.offers(p) {
+	offers := c.offers(p)
+	sort.SliceStable(offers, func(a, b int) bool { return c.priceFor(n.job, offers[a]) < c.priceFor(n.job, offers[b]) })
+	for _, o := range offers {
 		typ := c.typeIdx.known(o.Type)
 		k := c.holds(typ, per)
 		if k == 0 || !c.allowedOn(n.job, c.kind(p.zone, typ, o.Spot)) {
@@ -141,6 +143,15 @@
 	}
 }
 
+// priceFor is an offer's price per core for a job; types that others cannot do
+// without count as dearer.
+func (c *Core) priceFor(j *job, o Offer) float64 {
+	if c.contested(j, c.typeIdx.known(o.Type)) {
+		return 1.6 * c.perCore(o)
+	}
+	return c.perCore(o)
+}
+
 // holds is how many tasks of a shape an empty machine of the type takes.
 func (c *Core) holds(typ int, per Amount) int {
 	t := c.types[typ].Total
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -17,7 +17,9 @@
 	moves    int
 	team     int
 	class    int
-	image    int           // -1: none
+	image    int    // -1: none
+	fits     uint64 // types that hold a task, and of how many that was reckoned
+	fitsOf   int
 	holdTo   time.Duration // no launches before, after workers refused it
 }
 
@@ -67,6 +69,9 @@
 	if j == nil {
 		j = c.newJob(id, v.Spec, stamp)
 		c.jobs[id] = j
+		if len(c.types) > 0 {
+			c.sawClass(j)
+		}
 	}
 	j.stamp, j.split, j.moves = stamp, v.Split, v.Moves
 	for _, zone := range sorted(v.Split) {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math/bits"
 	"sort"
 	"time"
 
@@ -93,7 +94,70 @@
 // step is a job's tasks as the programme's step.
 func (c *Core) step(j *job) *plan.Step {
 	return &plan.Step{Tasks: 1, Gang: j.spec.Gang, Need: j.spec.Need.plan(), Comp: c.estimate(j), Image: j.image,
-		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return c.allowedOn(j, kind) }}
+		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return c.allowedOn(j, kind) },
+		Cost: func(kind int) float64 { return c.choiceCost(j, kind) }}
+}
+
+// choiceCost weighs what a choice of machine costs others, in seconds of this
+// job's time: a dearer machine, or one that another class of jobs cannot do
+// without while this job can.
+func (c *Core) choiceCost(j *job, kind int) float64 {
+	spot, typ := kind&1 == 1, kind/2%len(c.types)
+	cost := 0.0
+	if !spot {
+		cost += ordinaryCost
+	}
+	if c.contested(j, typ) {
+		cost += contestedCost
+	}
+	return cost
+}
+
+const (
+	ordinaryCost  = 3.0
+	contestedCost = 6.0
+	emptyCost     = 0.5
+)
+
+// contested says whether another class seen lately has fewer types to run on
+// than j, this one among them.
+func (c *Core) contested(j *job, typ int) bool {
+	mine := c.typesOf(j)
+	for class, k := range c.kinds {
+		if class != j.class && k.types&(1<<typ) != 0 && c.now < k.at+5*time.Minute &&
+			bits.OnesCount64(k.types) < bits.OnesCount64(mine) {
+			return true
+		}
+	}
+	return false
+}
+
+// classKinds is which types the jobs of a class fit, and when one was seen.
+type classKinds struct {
+	types uint64
+	at    time.Duration
+}
+
+// typesOf is the set of types that hold a task of the job.
+func (c *Core) typesOf(j *job) uint64 {
+	if j.fits == 0 || j.fitsOf != len(c.types) {
+		j.fits, j.fitsOf = 0, len(c.types)
+		for t := range c.types {
+			if t < 64 && j.spec.Need.plan().Within(c.types[t].Total.plan()) &&
+				(len(j.spec.Types) == 0 || contains(j.spec.Types, c.types[t].Name)) {
+				j.fits |= 1 << t
+			}
+		}
+	}
+	return j.fits
+}
+
+// sawClass remembers what the class of a job runs on.
+func (c *Core) sawClass(j *job) {
+	for len(c.kinds) <= j.class {
+		c.kinds = append(c.kinds, classKinds{})
+	}
+	c.kinds[j.class] = classKinds{c.typesOf(j), c.now}
 }
 
 // hostDevice is a machine of a part owned here.
@@ -112,6 +176,9 @@
 	for img, at := range h.fetching {
 		d.Images[img] = max(seconds(at), now+0.2)
 	}
+	if len(h.tasks) == 0 {
+		d.Penalty = emptyCost // work that shares machines lets others go back
+	}
 	for _, t := range h.tasks {
 		d.Uses = append(d.Uses, plan.Use{Start: 0, End: seconds(c.expectedEnd(t)), Amount: t.need.plan()})
 	}
@@ -198,6 +265,7 @@
 		if c.now < j.holdTo {
 			continue
 		}
+		c.sawClass(j)
 		if j.spec.Gang && (len(s.tasks) > 0 || n < s.waiting.count()) {
 			continue // whole or not at all, and only once the last try is off its machines
 		}
--- a/internal/plan/device.go
+++ b/internal/plan/device.go
@@ -45,6 +45,14 @@
 	Penalty float64         // seconds added when choices are compared, for cost
 }
 
+// cost is what the choice of this device costs beside time, in seconds.
+func (d *Device) cost(s *Step) float64 {
+	if s.Cost == nil {
+		return d.Penalty
+	}
+	return d.Penalty + s.Cost(d.Kind)
+}
+
 func (d *Device) clone() *Device {
 	c := *d
 	c.Uses = append(make([]Use, 0, len(d.Uses)+4), d.Uses...)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -11,8 +11,9 @@
 	Comp    float64 // estimated run time on an ordinary machine
 	Image   int     // dense index, or -1 for none
 	ImageGB float64
-	Allowed func(kind int) bool // nil: any machine
-	Gang    bool                // all tasks take their room at the same moment
+	Allowed func(kind int) bool    // nil: any machine
+	Cost    func(kind int) float64 // seconds added when machines of a kind are compared; nil: none
+	Gang    bool                   // all tasks take their room at the same moment
 }
 
 // Schedule is a complete placement of a pipeline.
@@ -124,8 +125,10 @@
 		if s.Allowed != nil && !s.Allowed(dev.Kind) {
 			continue
 		}
-		if _, end, ok := dev.try(s, ready); ok && (best < 0 || end+dev.Penalty < at) {
-			best, at = d, end+dev.Penalty
+		if _, end, ok := dev.try(s, ready); ok {
+			if cost := end + dev.cost(s); best < 0 || cost < at {
+				best, at = d, cost
+			}
 		}
 	}
 	return best
@@ -200,7 +203,7 @@
 	p.places = append(p.places, Placement{i, task, d, start, end})
 	p.finish[i] = max(p.finish[i], end)
 	p.last = max(p.last, end)
-	p.cost = max(p.cost, end+dev.Penalty)
+	p.cost = max(p.cost, end+dev.cost(s))
 	return true
 }
 
