--- a/cmd/roadcleat/root.go
+++ b/cmd/roadcleat/root.go
@@ -69,7 +69,7 @@
 	}
 	root.PersistentFlags().StringVar(&configPath, "config", "", "the platform's settings file (JSON)")
 	root.PersistentFlags().StringVar(&operatorPath, "operator", "", "the operators' settings file (INI); default: $"+config.OperatorEnv)
-	root.AddCommand(&cobra.Command{
+	root.AddCommand(statusCommand(), explainCommand(), &cobra.Command{
 		Use: "check", Short: "Check the settings and print what is in force", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, o, err := load()
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -14,18 +14,22 @@
 	"github.com/go-chi/chi/v5"
 
 	"roadcleat/internal/core"
+	"roadcleat/internal/metrics"
 	"roadcleat/internal/runtime"
 	"roadcleat/internal/wire"
 )
 
 // Server answers requests with the help of a runtime.
 type Server struct {
-	rt  *runtime.Runtime
-	log *slog.Logger
+	rt   *runtime.Runtime
+	seen *metrics.Set
+	log  *slog.Logger
 }
 
 // New makes a server.
-func New(rt *runtime.Runtime, log *slog.Logger) *Server { return &Server{rt, log} }
+func New(rt *runtime.Runtime, seen *metrics.Set, log *slog.Logger) *Server {
+	return &Server{rt, seen, log}
+}
 
 // userWait is how long a user's request may take: less than its sender waits.
 const (
@@ -42,6 +46,9 @@
 	r.Post("/v2/runs/{id}/withdraw", s.withdraw)
 	r.Get("/healthz", s.health)
 	r.Post("/agent/beat", s.beat)
+	r.Get("/status", s.status)
+	r.Get("/explain/{id}", s.explain)
+	r.Get("/metrics", s.metrics)
 	return r
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,8 @@
 	limits []Team   // by team
 
 	deafUntil      time.Duration
+	cloudOK        time.Duration // when the cloud last answered a listing
+	cloudBadSince  time.Duration
 	heard          map[string]map[string]time.Duration // workers of others' parts, by zone
 	lease          uint64
 	leaseSent      time.Duration // when the last good renewal was sent
@@ -98,6 +100,15 @@
 	FetchSeconds, FetchGB                                                float64
 }
 
+// cloudSaid notes whether the cloud answers.
+func (c *Core) cloudSaid(ok bool) {
+	if ok {
+		c.cloudOK, c.cloudBadSince = c.now, 0
+	} else if c.cloudBadSince == 0 {
+		c.cloudBadSince = c.now
+	}
+}
+
 // view is how far this controller has followed a prefix of the store.
 type view struct {
 	prefix  string
@@ -248,6 +259,7 @@
 	c.call(CatalogOp{}, func(r any) {
 		c.catalogBusy = false
 		res := r.(CatalogResult)
+		c.cloudSaid(res.Outcome == OK)
 		if res.Outcome != OK || len(res.Types) == 0 {
 			return
 		}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -320,6 +320,11 @@
 		To      int
 		Message Message
 	}
+	// Observed is a measurement for the operators.
+	Observed struct {
+		What  int
+		Value float64
+	}
 	// Note is a line for the log.
 	Note struct {
 		Level int // 0 debug, 1 info, 2 warning
@@ -328,6 +333,14 @@
 	}
 )
 
+// What is observed: seconds from a job's coming to a task's start, seconds of
+// a fetch, jobs committed together.
+const (
+	Wait = iota
+	Fetch
+	Batch
+)
+
 // Standing is a job's state as users see it.
 type Standing int
 
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -54,6 +54,10 @@
 		peak = max(peak, s.cores)
 		mean += s.cores / float64(len(p.demand))
 	}
+	if c.now >= p.loadAt {
+		p.loadAt = c.now + 15*time.Second
+		c.noteLoad(p, demand, peak, mean)
+	}
 	target := peak + mean*c.cfg.Knobs.SpareShare
 	capacity := c.capacity(p)
 	if c.mayStart() && c.storeWell() {
@@ -67,6 +71,34 @@
 	c.returnIdle(p, target)
 }
 
+// noteLoad logs how the part's cores are used.
+func (c *Core) noteLoad(p *part, demand, peak, mean float64) {
+	var boots, spot, all, run, wait float64
+	for _, h := range p.hosts {
+		if h.typ < 0 {
+			continue
+		}
+		cores := c.types[h.typ].Total.Cores
+		if h.state == booting {
+			boots += cores
+			continue
+		}
+		all += cores
+		if h.spot {
+			spot += cores
+		}
+		for _, t := range h.tasks {
+			if t.state == Running {
+				run += t.need.Cores
+			} else {
+				wait += t.need.Cores
+			}
+		}
+	}
+	c.note(1, "part load", "part", p.name, "token", p.token, "cores", all, "spot", spot, "booting", boots,
+		"running", run, "fetching", wait, "demand", demand, "peak", peak, "mean", mean)
+}
+
 // capacity counts the cores of machines that work, boot or are being hired.
 func (c *Core) capacity(p *part) float64 {
 	sum := 0.0
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -472,6 +472,9 @@
 	t.seen = true
 	if r.State == Running && t.state != Running {
 		t.started = c.now
+		if j := t.job(); j != nil && !t.inherited {
+			c.emit(Observed{Wait, seconds(c.now - j.since)})
+		}
 		if j := t.job(); j != nil {
 			c.imageThere(h, t, j)
 		}
@@ -535,6 +538,7 @@
 		if took := seconds(c.now - t.fetchFrom); j.spec.ImageGB > 0.2 && took > 0 && h.typ >= 0 {
 			rate := c.fetchRate(h.typ)
 			c.sPerGB[h.typ] = rate + 0.2*(min(took/j.spec.ImageGB, 4*rate)-rate)
+			c.emit(Observed{Fetch, took})
 			c.stats.FetchSeconds += took
 			c.stats.FetchGB += j.spec.ImageGB
 		}
@@ -821,6 +825,9 @@
 	c.call(HostsOp{}, func(r any) {
 		c.listBusy = false
 		res := r.(HostsResult)
+		if res.Outcome != NotSent { // not a call left out for want of tokens
+			c.cloudSaid(res.Outcome == OK)
+		}
 		if res.Outcome != OK {
 			c.listAt = c.now + 2*time.Second
 			return
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -15,6 +15,7 @@
 	born     uint64 // order of arrival
 	split    map[string]ranges
 	moves    int
+	since    time.Duration // when it became known here
 	team     int
 	class    int
 	image    int    // -1: none
@@ -106,7 +107,7 @@
 
 func (c *Core) newJob(id string, spec Spec, stamp uint64) *job {
 	spec.ID = id
-	j := &job{id: id, spec: spec, born: stamp, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
+	j := &job{id: id, spec: spec, born: stamp, since: c.now, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
 	if spec.Image != "" {
 		j.image = c.images.of(spec.Image)
 	}
@@ -345,6 +346,7 @@
 		if len(group) == 0 {
 			return
 		}
+		c.emit(Observed{Batch, float64(len(group))})
 		c.commitsInUse++
 		c.commit(t, false, func(res CommitResult) {
 			c.commitsInUse--
--- /dev/null
+++ b/internal/core/moves.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"roadcleat/internal/plan"
+)
+
+// moveGain is by how much earlier, in seconds, a task must end elsewhere to be
+// moved there: what is known of another part is a moment old.
+const moveGain = 4.0
+
+// maybeMove hands waiting tasks that find no room soon to a part that has some
+// now. They are on no machine for certain; one transaction on both slices and
+// the job changes hands.
+func (c *Core) maybeMove(p *part) {
+	if p.moving || c.now < p.moveAt || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 || !c.mayStart() {
+		return
+	}
+	for _, n := range p.shortage {
+		j := n.job
+		s := p.slices[j.id]
+		if s == nil || n.after < moveGain || j.spec.Zone != "" || j.spec.Gang || j.spec.Apart || s.busy ||
+			len(s.settled) > 0 || j.spec.OneZone || c.now < s.moveAt {
+			continue
+		}
+		if to, count := c.betterPart(p, j, n); to != nil {
+			s.moveAt = c.now + 5*time.Second
+			c.move(p, to, s, count)
+			return
+		}
+	}
+	p.moveAt = c.now + 500*time.Millisecond
+}
+
+// betterPart finds a part of another owner, or another of mine, with room for
+// some of the tasks now, and how many.
+func (c *Core) betterPart(p *part, j *job, n need) (*part, int) {
+	var best *part
+	most := 0
+	now := seconds(c.now)
+	for _, q := range c.parts {
+		if q == p || q.mine && !q.loaded || !q.mine && (q.view == nil || c.now > q.viewAt+1500*time.Millisecond) {
+			continue
+		}
+		var devices []*plan.Device
+		for _, d := range c.partDevices(q) {
+			devices = append(devices, d.Device)
+		}
+		fits, step := 0, c.step(j)
+		for _, d := range devices {
+			if step.Allowed(d.Kind) {
+				fits += d.FreeFor(step, now, now+1)
+			}
+		}
+		if fits > most {
+			best, most = q, fits
+		}
+	}
+	return best, min(most, n.tasks, 32)
+}
+
+// move carries out a move: the other part's slice is read, then both change
+// together.
+func (c *Core) move(p, to *part, s *slice, count int) {
+	j, token := s.job, p.token
+	p.moving = true
+	key := sliceKey(to.name, j.id)
+	c.read(key, true, func(res ReadResult) {
+		p.moving = false
+		if res.Outcome != OK || !p.mine || p.token != token || p.committing || p.claiming || p.yielding ||
+			len(p.refreshing) > 0 || p.slices[j.id] != s || j.standing != Pending || len(s.settled) > 0 {
+			return
+		}
+		for _, t := range s.tasks {
+			if t.phase == placing {
+				return // the slice is about to change by itself
+			}
+		}
+		ids := s.waiting.clone().first(min(count, s.waiting.count()))
+		if len(ids) == 0 {
+			return
+		}
+		var v sliceValue
+		if res.Found && json.Unmarshal(res.Item.Value, &v) != nil {
+			return
+		}
+		split := map[string]ranges{}
+		for z, r := range j.split {
+			split[z] = r
+		}
+		split[to.name] = nil
+		for _, i := range ids {
+			s.waiting.remove(i)
+			v.Waiting.add(i)
+		}
+		v.Next = max(v.Next, s.next) // an attempt is never given out twice
+		theirs, _ := json.Marshal(v)
+		moved := *j
+		moved.split, moved.moves = split, j.moves+1
+		empty := s.complete() && len(s.done) == 0
+		mineValue := s.value()
+		if empty {
+			delete(split, p.name)
+			mineValue = nil
+		}
+		value := moved.value("")
+		w := &writing{part: p, slices: map[string]*slice{j.id: s},
+			news:  []Item{{Key: j.key(), Value: value}},
+			moved: []Item{{Key: key, Value: theirs}}}
+		if empty {
+			w.slices, w.drops = nil, []string{j.id}
+		}
+		stamp := s.stamp
+		w.undo = func() {
+			for _, i := range ids {
+				if s.stamp == stamp && s.tasks[i] == nil && !s.done.has(i) {
+					s.waiting.add(i)
+				}
+			}
+		}
+		w.txn.Guards = []Guard{{p.key(), p.stamp}, {sliceKey(p.name, j.id), s.stamp}, {j.key(), j.stamp}, {key, res.Item.Stamp}}
+		w.txn.Apply = []Set{{Key: sliceKey(p.name, j.id), Value: mineValue}, {Key: key, Value: theirs}, {Key: j.key(), Value: value}}
+		delete(p.dirty, j.id)
+		c.stats.Moves += uint64(len(ids))
+		c.note(1, "tasks moved", "job", j.id, "tasks", len(ids), "from", p.name, "to", to.name, "token", p.token)
+		c.write(w)
+	})
+}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -46,7 +46,10 @@
 	demand   []sample
 	shortage []need
 	loadedAt time.Duration
+	loadAt   time.Duration // when the load is logged next
 
+	moving    bool // tasks are on their way to another part
+	moveAt    time.Duration
 	view      *PartView // by the owner's gossip
 	viewAt    time.Duration
 	devices   []device // the view as the programme sees it
@@ -442,7 +445,7 @@
 		return
 	}
 	if to := c.deafTo(p); to != nil {
-		c.deafUntil = c.now + time.Minute
+		c.deafUntil = c.now + deafFor
 		c.yield(p, to, "its workers are heard elsewhere only")
 		return
 	}
@@ -463,6 +466,10 @@
 	c.yield(p, home, "its home is back")
 }
 
+// deafFor is how long a controller that gave a part up for not hearing its
+// workers is not given one back.
+const deafFor = time.Minute
+
 // deafTo names the controller that hears the part's workers while this one,
 // though it reaches the state service, hears none of them.
 func (c *Core) deafTo(p *part) *peer {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -19,6 +19,7 @@
 type need struct {
 	job   *job
 	tasks int
+	after float64 // seconds until the first of them would start here
 }
 
 // work does what is due for a part: plans, records, sends.
@@ -39,6 +40,7 @@
 		c.size(p)
 	}
 	c.record(p)
+	c.maybeMove(p)
 	for _, h := range p.hostList() {
 		c.flushOrders(p, h)
 	}
@@ -271,10 +273,10 @@
 		}
 		var starts []plan.Placement
 		placed := plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) { starts = append(starts, pl) })
-		late := n - placed
+		late, after := n-placed, 60.0
 		ids := s.waiting.first(n)
 		if j.spec.Gang && !c.allNow(starts, n, all) {
-			p.shortage = append(p.shortage, need{j, n})
+			p.shortage = append(p.shortage, need{j, n, 60})
 			continue
 		}
 		if j.spec.Gang && n > 0 {
@@ -284,12 +286,13 @@
 			h := all[pl.Device].host
 			if pl.Start > now+soon || h.state != up {
 				late++
+				after = min(after, pl.Start-now)
 				continue
 			}
 			c.place(p, s, ids[k], h, pl.Finish)
 		}
 		if late > 0 {
-			p.shortage = append(p.shortage, need{j, late})
+			p.shortage = append(p.shortage, need{j, late, after})
 		}
 	}
 }
@@ -354,6 +357,22 @@
 	return p.devices
 }
 
+// partDevices is a part's machines: by own knowledge, or by its owner's word.
+func (c *Core) partDevices(p *part) []device {
+	if !p.mine || !p.loaded {
+		return c.viewDevices(p)
+	}
+	if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
+		p.devices, p.devicesAt = nil, c.now
+		for _, h := range p.hostList() {
+			if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+				p.devices = append(p.devices, c.hostDevice(h))
+			}
+		}
+	}
+	return p.devices
+}
+
 // market is one imagined machine per zone, type and kind: what could be hired.
 func (c *Core) market(p *part) []device {
 	var out []device
@@ -407,19 +426,7 @@
 		if spec.Zone != "" && p.name != spec.Zone || !c.zoneHolds(j, p) {
 			continue
 		}
-		if p.mine && p.loaded {
-			if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
-				p.devices, p.devicesAt = nil, c.now
-				for _, h := range p.hostList() {
-					if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
-						p.devices = append(p.devices, c.hostDevice(h))
-					}
-				}
-			}
-			byZone[z] = p.devices
-		} else {
-			byZone[z] = c.viewDevices(p)
-		}
+		byZone[z] = c.partDevices(p)
 		byZone[z] = append(byZone[z][:len(byZone[z]):len(byZone[z])], c.market(p)...)
 	}
 	counts := make([]int, len(c.parts))
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -15,7 +15,8 @@
 	tasks   map[int]*task   // on a machine, or on the way there
 	settled map[int]outcome // ended for certain, not yet recorded
 	next    uint64          // highest attempt given out
-	checkAt time.Duration   // when to look again whether the whole job is done
+	moveAt  time.Duration
+	checkAt time.Duration // when to look again whether the whole job is done
 	busy    bool
 }
 
@@ -215,6 +216,8 @@
 	done    []*job
 	news    []Item
 	drops   []string
+	moved   []Item // slices of other parts, changed by a move
+	undo    func() // takes back what memory shows already
 }
 
 // write sends an owner's transaction; the part does one at a time.
@@ -271,12 +274,7 @@
 			delete(p.slices, id)
 			delete(p.dirty, id)
 		}
-		if len(w.news) > 0 {
-			for i := range w.news {
-				w.news[i].Stamp = res.Revision
-			}
-			c.tellAll(Message{Jobs: w.news})
-		}
+		c.announce(w, res.Revision)
 		p.replan = true
 	case Refused:
 		c.stats.Conflicts++
@@ -297,6 +295,11 @@
 		p.committing = false
 		p.retryAt = c.now + 300*time.Millisecond
 	default:
+		if w.undo != nil {
+			// Tasks that may not have left must not be missing here: the slice
+			// would look complete.
+			w.undo()
+		}
 		// Nobody can tell: what holds is read again before anything else. The
 		// placements stay booked until then and are not launched.
 		for _, g := range w.txn.Guards {
@@ -307,8 +310,29 @@
 	c.refresh(p)
 }
 
+// announce tells the others of jobs and slices that a transaction changed.
+func (c *Core) announce(w *writing, revision uint64) {
+	for i := range w.news {
+		w.news[i].Stamp = revision
+		c.learnJob(strings.TrimPrefix(w.news[i].Key, "job/"), w.news[i].Value, revision)
+	}
+	for i := range w.moved {
+		w.moved[i].Stamp = revision
+		zone, id, _ := strings.Cut(strings.TrimPrefix(w.moved[i].Key, "slice/"), "/")
+		if q := c.parts[c.zone(zone)]; q.mine && q.loaded {
+			c.sliceSeen(q, id, w.moved[i].Value, revision)
+		}
+	}
+	if len(w.news)+len(w.moved) > 0 {
+		c.tellAll(Message{Jobs: w.news, Slices: w.moved})
+	}
+}
+
 // takeBack undoes the placements of a transaction that was not carried out.
 func (c *Core) takeBack(w *writing) {
+	if w.undo != nil {
+		w.undo()
+	}
 	for _, t := range w.placing {
 		if t.phase == placing {
 			c.unplace(w.part, t)
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -344,3 +344,32 @@
 	w.Referee.overdue()
 	saw("ran_cancelled")
 }
+
+func TestWaitingTasksMoveToAPartWithRoom(t *testing.T) {
+	w := day(t, 15)
+	first := spec("job-1", "red", 2, 2)
+	first.Zone = "a"
+	ends(t, w, w.Submit(first, 5*time.Second), 60*time.Second)
+	stuck := w.Submit(spec("job-2", "red", 2, 2), 20*time.Second) // goes to the idle machine in a
+	require.True(t, w.Until(20*time.Second, started(w, "job-2", 2)))
+	other := spec("job-3", "red", 2, 2)
+	other.Zone = "b"
+	w.Submit(other, 2*time.Minute)
+	require.True(t, w.Until(40*time.Second, func() bool { return started(w, "job-3", 2)() || stuck.Over() }))
+	require.False(t, stuck.Over())
+	for k := range w.On("job-2") {
+		require.Equal(t, "a", k.zone)
+		k.Die()
+	}
+	for k := range w.Cloud.Room {
+		if strings.Contains(k, "/a/") {
+			w.Cloud.Room[k] = 0 // and the zone has no machine to give
+		}
+	}
+	ends(t, w, stuck, 90*time.Second)
+	moved := uint64(0)
+	for _, n := range w.Nodes {
+		moved += n.Core.Stats().Moves
+	}
+	assert.Positive(t, moved)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,77 @@
+// Package metrics counts what operators want to see of a controller.
+package metrics
+
+import (
+	"net/http"
+	"reflect"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"roadcleat/internal/core"
+)
+
+// Set holds a controller's metrics.
+type Set struct {
+	Plan    prometheus.Histogram
+	samples map[int]prometheus.Histogram
+	calls   *prometheus.CounterVec
+	reg     *prometheus.Registry
+}
+
+// New makes an empty set.
+func New() *Set {
+	hist := func(name, help string, buckets ...float64) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: "roadcleat_" + name, Help: help, Buckets: buckets})
+	}
+	s := &Set{
+		Plan: hist("settle_seconds", "Time to plan and to decide after a batch of commands.", .0001, .0005, .001, .005, .01, .05, .1, .5),
+		samples: map[int]prometheus.Histogram{
+			core.Wait:  hist("task_wait_seconds", "Time from a job's coming to a task's start.", .5, 1, 2, 5, 10, 20, 40, 80, 160, 320),
+			core.Fetch: hist("image_fetch_seconds", "Time of image fetches.", .5, 1, 2, 5, 10, 20, 40, 80),
+			core.Batch: hist("commit_batch_jobs", "Jobs accepted by one transaction.", 1, 2, 4, 8, 16),
+		},
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "roadcleat_calls_total",
+			Help: "Calls to the outside by kind and outcome; not_sent includes calls refused for want of tokens."}, []string{"call", "outcome"}),
+		reg: prometheus.NewRegistry(),
+	}
+	s.reg.MustRegister(s.Plan, s.calls, s.samples[core.Wait], s.samples[core.Fetch], s.samples[core.Batch])
+	return s
+}
+
+// Observe takes a measurement of the core.
+func (s *Set) Observe(o core.Observed) { s.samples[o.What].Observe(o.Value) }
+
+var outcomes = map[core.Outcome]string{core.Unknown: "unknown", core.OK: "ok", core.Refused: "refused", core.NotSent: "not_sent"}
+
+// Call counts a call and its outcome.
+func (s *Set) Call(op, result any) {
+	name := strings.ToLower(strings.TrimSuffix(reflect.TypeOf(op).Name(), "Op"))
+	out := reflect.ValueOf(result).FieldByName("Outcome").Interface().(core.Outcome)
+	s.calls.WithLabelValues(name, outcomes[out]).Inc()
+}
+
+// Handler serves the set together with the core's own counters, as read by
+// stats when asked.
+func (s *Set) Handler(stats core.Stats) http.Handler {
+	reg := prometheus.NewRegistry()
+	for _, c := range []struct {
+		name, help string
+		value      float64
+	}{
+		{"tasks_placed_total", "Tasks placed on machines.", float64(stats.Placed)},
+		{"tasks_finished_total", "Tasks completed.", float64(stats.Finished)},
+		{"tasks_requeued_total", "Tasks that went back to the queue.", float64(stats.Requeued)},
+		{"tasks_moved_total", "Waiting tasks moved to another part.", float64(stats.Moves)},
+		{"hosts_hired_total", "Machines hired.", float64(stats.Hired)},
+		{"hosts_returned_total", "Machines returned.", float64(stats.Returned)},
+		{"plans_total", "Runs of the planner.", float64(stats.Plans)},
+		{"commit_conflicts_total", "Transactions refused because a key had changed.", float64(stats.Conflicts)},
+	} {
+		counter := prometheus.NewCounter(prometheus.CounterOpts{Name: "roadcleat_" + c.name, Help: c.help})
+		counter.Add(c.value)
+		reg.MustRegister(counter)
+	}
+	return promhttp.HandlerFor(prometheus.Gatherers{s.reg, reg}, promhttp.HandlerOpts{DisableCompression: true})
+}
--- a/internal/plan/device.go
+++ b/internal/plan/device.go
@@ -94,6 +94,19 @@
 	Finish             float64
 }
 
+// FreeFor is how many tasks of a step the device can take at once from the time
+// given on, if it can be used by then.
+func (d *Device) FreeFor(s *Step, from, by float64) int {
+	if d.Up > by {
+		return 0
+	}
+	free, n := d.Total.Minus(d.inUse(from)), 0
+	for n < 64 && s.Need.Within(free) {
+		free, n = free.Minus(s.Need), n+1
+	}
+	return n
+}
+
 // try finds the earliest placement of a task on the device:
 // finish = max(avail, ready) + comp, where avail is when there is room and the
 // image is there, fetches already queued on the machine included.
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -12,6 +12,7 @@
 	"roadcleat/internal/agent"
 	"roadcleat/internal/cloud"
 	"roadcleat/internal/core"
+	"roadcleat/internal/metrics"
 	"roadcleat/internal/peer"
 	"roadcleat/internal/state"
 )
@@ -43,6 +44,7 @@
 	agent *agent.Client
 	links []*peer.Link
 	log   *slog.Logger
+	seen  *metrics.Set
 
 	queue   chan command
 	start   time.Time
@@ -52,8 +54,8 @@
 }
 
 // New makes a runtime.
-func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, links []*peer.Link, log *slog.Logger) *Runtime {
-	return &Runtime{core: c, state: st, cloud: cl, agent: ag, links: links, log: log,
+func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, links []*peer.Link, seen *metrics.Set, log *slog.Logger) *Runtime {
+	return &Runtime{core: c, state: st, cloud: cl, agent: ag, links: links, log: log, seen: seen,
 		queue: make(chan command, queueLen), start: time.Now(), waiting: map[uint64]chan any{},
 		slots: make(chan struct{}, maxCalls)}
 }
@@ -86,7 +88,14 @@
 
 func (r *Runtime) now() time.Duration { return time.Since(r.start) }
 
-func (r *Runtime) settle(ctx context.Context) { r.carryOut(ctx, r.core.Settle(r.now())) }
+func (r *Runtime) settle(ctx context.Context) {
+	start := time.Now()
+	effects := r.core.Settle(r.now())
+	if len(effects) > 0 {
+		r.seen.Plan.Observe(time.Since(start).Seconds())
+	}
+	r.carryOut(ctx, effects)
+}
 
 func (r *Runtime) take(ctx context.Context, cmd command) {
 	if cmd.ask != nil {
@@ -127,6 +136,8 @@
 			r.answer(e.Req, e)
 		case core.Tell:
 			r.links[e.To].Send(e.Message)
+		case core.Observed:
+			r.seen.Observe(e)
 		case core.Note:
 			level := [...]slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn}[e.Level]
 			r.log.Log(ctx, level, e.Text, e.Args...)
@@ -172,6 +183,7 @@
 		res = r.agent.Show(ctx, op.Addr)
 	}
 	<-r.slots
+	r.seen.Call(c.Op, res)
 	select {
 	case r.queue <- command{event: core.Answer{ID: c.ID, Result: res}}:
 	case <-ctx.Done():
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,6 +19,7 @@
 	"roadcleat/internal/cloud"
 	"roadcleat/internal/config"
 	"roadcleat/internal/core"
+	"roadcleat/internal/metrics"
 	"roadcleat/internal/peer"
 	rt "roadcleat/internal/runtime"
 	"roadcleat/internal/state"
@@ -53,14 +54,15 @@
 		links = append(links, peer.NewLink(s.Label, other.PeerAddr, log))
 		labels = append(labels, other.Label)
 	}
-	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(), links, log)
+	seen := metrics.New()
+	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(), links, seen, log)
 	for _, l := range links {
 		go l.Run(ctx)
 	}
 	go peer.Serve(ctx, peerLn, labels, r.Deliver, log)
 	go r.Run(ctx)
 	log.Info("controller started", "label", s.Label, "zone", s.Location)
-	return api.New(r, log).Serve(ctx, apiLn, userConns(s))
+	return api.New(r, seen, log).Serve(ctx, apiLn, userConns(s))
 }
 
 // userConns leaves sockets for calls to the outside.
