--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,91 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/config"
+)
+
+// freeAddr is a loopback address that was free a moment ago.
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// TestAControllerAloneAnswersHonestly starts a whole controller whose state
+// service and cloud can't be reached.
+func TestAControllerAloneAnswersHonestly(t *testing.T) {
+	addr := freeAddr(t)
+	settings, err := config.Parse([]byte(fmt.Sprintf(`{"label":"n0","location":"z","api_addr":%q,"peer_listen":%q,
+"others":[],"external":{"cloud":%q,"state":%q},"deployment":{"zones":["z"],"teams":[{"name":"t","cpus":8,"cpus_max":16}],
+"workers":{"report_s":3,"lease_s":14,"cancel_s":44},"state":{"rps":150,"write_rps":50,"value_kb":16,"txn_ops":12},
+"cloud":{"rps":5,"list_lag_s":3}}}`, addr, freeAddr(t), freeAddr(t), freeAddr(t))))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, settings, config.DefaultOperator(), io.Discard) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	ask := func(method, path, body string) (*http.Response, string) {
+		req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp, string(b)
+	}
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + addr + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	}, 10*time.Second, 50*time.Millisecond, "not healthy before it has seen the state service")
+
+	resp, _ := ask("POST", "/v2/runs", "no json")
+	assert.Equal(t, 400, resp.StatusCode)
+	resp, _ = ask("POST", "/v2/runs", `{"Ref":"job-000001","pad":"`+strings.Repeat("x", 65<<10)+`"}`)
+	assert.Equal(t, 400, resp.StatusCode)
+	resp, _ = ask("POST", "/v2/runs", `{"Ref":"job-000001"}`)
+	assert.Equal(t, 503, resp.StatusCode, "malformed, but it may be a repeat of a known job")
+	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+	resp, _ = ask("GET", "/v2/runs/job-000001", "")
+	assert.Equal(t, 503, resp.StatusCode)
+	resp, _ = ask("POST", "/v2/runs/job-000001/withdraw", "")
+	assert.Equal(t, 503, resp.StatusCode)
+	resp, _ = ask("POST", "/agent/beat", `{"Host":"vm-1","Yard":"z","Shift":1,"Tally":1,"Baton":0,"Sheets":[]}`)
+	assert.Contains(t, []int{421, 503}, resp.StatusCode, "no token, no 200")
+
+	resp, text := ask("GET", "/status", "")
+	require.Equal(t, 200, resp.StatusCode)
+	var status struct {
+		Label    string
+		Degraded []struct{ Mode string }
+	}
+	require.NoError(t, json.Unmarshal([]byte(text), &status))
+	assert.Equal(t, "n0", status.Label)
+	assert.NotEmpty(t, status.Degraded)
+	resp, text = ask("GET", "/metrics", "")
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.Contains(t, text, `roadcleat_calls_total{call="hold",outcome="unknown"}`)
+	resp, _ = ask("GET", "/explain/job-000001", "")
+	assert.Equal(t, 404, resp.StatusCode)
+}
