--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -38,6 +38,7 @@
 	expired      bool // its lease has run out for certain
 	recall       time.Duration
 	blockUntil   time.Duration
+	patience     time.Duration
 	errors       int
 	slow         float64
 	idleSince    time.Duration
@@ -80,6 +81,7 @@
 	started   time.Duration // when it was seen running
 	fetchFrom time.Duration
 	sent      bool // a launch may have reached the worker
+	answered  bool // one went into an answer to a report
 	seen      bool // the worker has shown it
 	inherited bool // placed by an earlier owner
 	halting   bool
@@ -87,15 +89,17 @@
 	leeway    float64
 }
 
+// usable says whether work may be started on the host: it is up, wanted, and
+// its last report is no older than the next one should be.
 func (h *host) usable(now time.Duration) bool {
 	return h.state == up && h.recall == 0 && !h.expired && !h.failed && now >= h.blockUntil &&
-		h.session > 0 && now < h.lastHeard+8*time.Second
+		h.session > 0 && now < h.lastHeard+h.patience
 }
 
 func (c *Core) hostNamed(p *part, name string) *host {
 	h := p.hosts[name]
 	if h == nil {
-		h = &host{name: name, part: p, typ: -1, state: up, since: c.now, lastHeard: c.now, slow: 1,
+		h = &host{name: name, part: p, typ: -1, state: up, since: c.now, lastHeard: c.now, slow: 1, patience: c.cfg.Report * 18 / 10,
 			tasks: map[TaskID]*task{}, reported: map[TaskID]Reported{}, unsure: map[launchKey]launch{},
 			images: map[int]time.Duration{}, fetching: map[int]time.Duration{}, idleSince: c.now}
 		p.hosts[name] = h
@@ -284,7 +288,7 @@
 		// from here: its proof of absence rests on no launch of mine.
 		if !shown && !t.halting && !t.inherited && h.state == up && h.recall == 0 && c.mayStart() {
 			out = append(out, Order{Verb: Launch, Task: id, Attempt: t.attempt})
-			t.sent = true
+			t.sent, t.answered = true, true
 		}
 		if t.halting {
 			if _, flying := h.unsure[launchKey{id, t.attempt}]; flying && !shown {
@@ -638,12 +642,19 @@
 			return
 		}
 		res := r.(WorkerResult)
-		if res.Outcome != Unknown {
-			for _, o := range orders {
-				if o.Verb == Launch {
-					delete(h.unsure, launchKey{o.Task, o.Attempt})
-				}
+		for _, o := range orders {
+			if o.Verb != Launch || res.Outcome == Unknown {
+				continue
 			}
+			delete(h.unsure, launchKey{o.Task, o.Attempt})
+			if t := h.tasks[o.Task]; res.Outcome == NotSent && t != nil && t.attempt == o.Attempt && !t.answered && !t.seen {
+				// No connection came about, so the launch has reached nobody: the
+				// task is free to start elsewhere at once.
+				c.settle(p, t, false)
+			}
+		}
+		if res.Outcome == NotSent || res.Outcome == Unknown {
+			h.blockUntil = max(h.blockUntil, c.now+3*time.Second)
 		}
 		if res.Report != nil && res.Report.Host == h.name {
 			c.absorb(p, h, res.Report, false)
@@ -719,7 +730,8 @@
 			if h.state == up {
 				c.checkLease(p, h)
 			}
-			if c.wantBack(p, h, deaf) {
+			if why := c.wantBack(p, h, deaf); why != "" {
+				c.note(1, "host not wanted", "host", h.name, "part", p.name, "why", why, "tasks", len(h.tasks))
 				back = append(back, h)
 			}
 		}
@@ -746,29 +758,38 @@
 	c.settleAll(p, h, func(*task) bool { return true })
 }
 
-// wantBack says whether a machine should be returned for its own sake; idle
-// machines are the hiring's business.
-func (c *Core) wantBack(p *part, h *host, deaf bool) bool {
+// wantBack says why a machine should be returned for its own sake, if it
+// should; idle machines are the hiring's business.
+func (c *Core) wantBack(p *part, h *host, deaf bool) string {
 	switch h.state {
 	case booting:
-		return c.now > h.giveUp
+		if c.now > h.giveUp {
+			return "never came up"
+		}
 	case returning:
-		return h.returnAt > 0 && c.now >= h.returnAt
+		if h.returnAt > 0 && c.now >= h.returnAt {
+			return "return to be confirmed"
+		}
 	case up:
 		silent := c.now - h.lastHeard
 		if h.recall > 0 {
-			return len(h.tasks) == 0 || c.now > h.recall+2*time.Second && silent > 3*time.Second
+			if len(h.tasks) == 0 || c.now > h.recall+2*time.Second && silent > 3*time.Second {
+				return "recalled"
+			}
+			return ""
 		}
 		if h.failed && len(h.tasks) == 0 {
-			return true
+			return "faulty"
 		}
 		limit := c.cfg.Knobs.SilentReturn
 		if deaf || c.now < p.loadedAt+c.cfg.Report*3 {
 			limit = c.cfg.Lease + 15*time.Second
 		}
-		return silent > limit
+		if silent > limit {
+			return "silent"
+		}
 	}
-	return false
+	return ""
 }
 
 func (c *Core) giveHostsBack(p *part, back []*host) {
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -373,3 +373,25 @@
 	}
 	assert.Positive(t, moved)
 }
+
+func TestALaunchThatReachedNobodyStartsElsewhereAtOnce(t *testing.T) {
+	w := day(t, 16)
+	first := w.Submit(spec("job-1", "red", 10, 2), 40*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 10)))
+	ends(t, w, first, 60*time.Second)
+	alive := 0
+	for name, k := range w.Workers {
+		if k.gone {
+			continue
+		}
+		if alive++; alive > 1 {
+			continue
+		}
+		for _, n := range w.Nodes {
+			w.Cut(n.Name, name, time.Minute, false)
+		}
+	}
+	require.Greater(t, alive, 1, "machines are idle now")
+	job := w.Submit(spec("job-2", "red", 10, 2), 5*time.Second)
+	ends(t, w, job, 25*time.Second)
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -315,6 +315,11 @@
 	case core.ReturnOp:
 		w.rpc(n.Name, "cloud", 4*time.Second, core.ReturnResult{}, func(a func(any)) { w.Cloud.giveBack(op.Hosts, a) }, done)
 	case core.OrdersOp:
+		if x := w.cuts[[2]string{n.Name, hostOf(op.Addr)}]; x != nil && w.Now < x.until && !x.hold {
+			// No connection comes about, so nothing can arrive later either.
+			w.After(1500*time.Millisecond, func() { done(core.WorkerResult{Outcome: core.NotSent}) })
+			return
+		}
 		w.rpc(n.Name, hostOf(op.Addr), 3*time.Second, core.WorkerResult{}, func(a func(any)) {
 			w.reach(op.Addr, func(k *Worker) { k.direct(op, a) })
 		}, done)
