Controllers vouch for each other that no withdrawal was missed

Cause: in a state outage longer than cancel_s less lease_s owners fell silent and all running work was lost, although nobody could have accepted a withdrawal. Test first: TestRunningWorkSurvivesAnOutageLongerThanAnyLease.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,9 @@
 	partsView      view
 	jobsView       view
 	gossipAt       time.Duration
+	gossipSeq      uint64
+	sentAt         map[uint64]time.Duration // when my gossip of late was sent, by number
+	withdrawn      []withdrawal
 	batch          []*submission
 	batching       map[string]*submission
 	commitsInUse   int
@@ -126,9 +129,10 @@
 		cfg: cfg, calls: map[uint64]func(any){},
 		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
 		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{},
-		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sPerGB: map[int]float64{},
+		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sentAt: map[uint64]time.Duration{}, sPerGB: map[int]float64{},
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
+	c.gossipSeq = cfg.Boot << 32 // no number of an earlier life comes again
 	for _, z := range cfg.Zones {
 		c.zone(z)
 	}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -372,12 +372,13 @@
 
 // Gossip is what a controller tells the others twice a second.
 type Gossip struct {
-	StoreOK bool
-	Ledger  uint64 // its view of job/ is complete up to here ...
-	AgeMs   int64  // ... as of so long ago; negative: no view
-	Parts   []PartView
-	Heard   map[string]int // workers of parts not its own heard lately
-	Deaf    bool           // it gave a part up because it did not hear its workers
+	Seq       uint64            // counts the sender's gossip
+	Echo      map[string]uint64 // the newest Seq heard of each other controller
+	Withdrawn []Item            // withdrawals the sender learned of lately
+	StoreOK   bool
+	Parts     []PartView
+	Heard     map[string]int // workers of parts not its own heard lately
+	Deaf      bool           // it gave a part up because it did not hear its workers
 }
 
 // PartView is a summary of a part by its owner.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -64,6 +64,9 @@
 		if v.Standing == standingWithdrawn {
 			s = Withdrawn
 		}
+		if s == Withdrawn {
+			c.withdrawn = append(c.withdrawn, withdrawal{c.now, Item{"job/" + id, value, stamp}})
+		}
 		c.finalise(id, s)
 		return nil
 	}
@@ -456,7 +459,7 @@
 				return
 			}
 			c.note(1, "job withdrawn", "job", e.ID)
-			c.finalise(e.ID, Withdrawn)
+			c.learnJob(e.ID, value, res.Revision)
 			c.tellAll(Message{Jobs: []Item{{key, value, res.Revision}}})
 			c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: e.ID, Standing: Withdrawn}})
 		})
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -519,9 +519,23 @@
 }
 
 // fresh is the moment up to which every accepted withdrawal is known here:
-// by my own view of job/, or by word of a controller whose view is newer.
+// by my own view of job/, or by the word of all other controllers: whom users
+// can ask to withdraw is nobody else.
 func (c *Core) fresh() (time.Duration, bool) {
-	return c.jobsView.fresh, c.jobsView.started
+	own := c.jobsView.fresh
+	if !c.jobsView.started {
+		return own, false
+	}
+	vouched := c.now
+	for _, p := range c.peers {
+		// A life of it that began after my own view ended can't speak for what
+		// the one before had told users.
+		if p.bootAt > own {
+			return own, true
+		}
+		vouched = min(vouched, p.vouched)
+	}
+	return max(own, vouched), true
 }
 
 // mayStart says whether work may be started: only while withdrawals arrive.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,6 +12,8 @@
 	heard    time.Duration
 	gossip   *Gossip
 	gossipAt time.Duration
+	bootAt   time.Duration // since when this life of it is known
+	vouched  time.Duration // it knew of my gossip of then, and told all until then
 }
 
 func (c *Core) peer(label string) *peer {
@@ -33,7 +35,10 @@
 // hear takes a message of another controller.
 func (c *Core) hear(from int, m Message) {
 	p := c.peers[from]
-	p.heard, p.boot = c.now, m.Boot
+	if p.boot != m.Boot {
+		p.boot, p.bootAt, p.vouched = m.Boot, c.now, 0
+	}
+	p.heard = c.now
 	for _, it := range m.Jobs {
 		c.learnJob(strings.TrimPrefix(it.Key, "job/"), it.Value, it.Stamp)
 	}
@@ -73,6 +78,14 @@
 
 func (c *Core) hearGossip(p *peer, g *Gossip) {
 	p.gossip, p.gossipAt = g, c.now
+	for _, it := range g.Withdrawn {
+		c.learnJob(strings.TrimPrefix(it.Key, "job/"), it.Value, it.Stamp)
+	}
+	// What it wrote after it had heard my gossip holds all withdrawals that it
+	// had told anybody of by the time I sent that; packets may be held for long.
+	if at, ok := c.sentAt[g.Echo[c.cfg.Label]]; ok {
+		p.vouched = max(p.vouched, at)
+	}
 	for i := range g.Parts {
 		v := &g.Parts[i]
 		z := c.zone(v.Zone)
@@ -101,7 +114,10 @@
 		return
 	}
 	c.gossipAt = c.now + 500*time.Millisecond
-	g := &Gossip{StoreOK: c.storeWell(), AgeMs: -1, Heard: map[string]int{}, Deaf: c.now < c.deafUntil}
+	c.gossipSeq++
+	c.sentAt[c.gossipSeq] = c.now
+	delete(c.sentAt, c.gossipSeq-120)
+	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, Withdrawn: c.recentlyWithdrawn(), StoreOK: c.storeWell(), Heard: map[string]int{}, Deaf: c.now < c.deafUntil}
 	for zone, hosts := range c.heard {
 		for name, at := range hosts {
 			if c.now > at+6*time.Second {
@@ -110,8 +126,10 @@
 		}
 		g.Heard[zone] = len(hosts)
 	}
-	if f, ok := c.fresh(); ok {
-		g.Ledger, g.AgeMs = c.jobsView.ledger, (c.now - f).Milliseconds()
+	for _, p := range c.peers {
+		if p.gossip != nil {
+			g.Echo[p.Label] = p.gossip.Seq
+		}
 	}
 	for _, p := range c.parts {
 		if p.mine && p.loaded && !p.yielding {
@@ -123,6 +141,27 @@
 	c.tellAll(Message{Gossip: g})
 }
 
+// recentlyWithdrawn lists withdrawals that another controller may have to hear
+// of from here because it does not reach the state service.
+func (c *Core) recentlyWithdrawn() []Item {
+	var out []Item
+	kept := c.withdrawn[:0]
+	for _, w := range c.withdrawn {
+		if c.now < w.at+c.cfg.Cancel+10*time.Second {
+			kept = append(kept, w)
+			out = append(out, w.item)
+		}
+	}
+	c.withdrawn = kept
+	return out
+}
+
+// withdrawal is a withdrawal and when it became known here.
+type withdrawal struct {
+	at   time.Duration
+	item Item
+}
+
 func (c *Core) viewOf(p *part) PartView {
 	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
 	for _, h := range p.hostList() {
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -395,3 +395,15 @@
 	job := w.Submit(spec("job-2", "red", 10, 2), 5*time.Second)
 	ends(t, w, job, 25*time.Second)
 }
+
+func TestRunningWorkSurvivesAnOutageLongerThanAnyLease(t *testing.T) {
+	w := day(t, 17)
+	job := w.Submit(spec("job-1", "red", 4, 2), 100*time.Second)
+	require.True(t, w.Until(40*time.Second, started(w, "job-1", 4)))
+	starts := w.Referee.Starts
+	// All controllers are in touch and none can accept a withdrawal, so their
+	// owners may keep answering workers for as long as it takes.
+	w.Store.Outage(75 * time.Second)
+	ends(t, w, job, 3*time.Minute)
+	assert.Equal(t, starts, w.Referee.Starts, "nothing had to run again")
+}
