--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -53,6 +53,9 @@
 	greeting bool
 	returnAt time.Duration
 
+	ran, held float64 // core seconds of running tasks, and of tasks that wait for their image
+	metered   time.Duration
+
 	images   map[int]time.Duration // image -> last used
 	fetching map[int]time.Duration // image -> when it should be there
 	fetchEnd time.Duration
@@ -826,12 +829,38 @@
 // hostGone: the cloud has confirmed that the machine and all on it are gone.
 func (c *Core) hostGone(p *part, h *host) {
 	h.state = dead
+	c.meter(h)
+	c.note(1, "host gone", "host", h.name, "part", p.name, "type", c.typeName(h), "spot", h.spot,
+		"boot_s", seconds(max(h.since-h.hiredAt, 0)), "up_s", seconds(c.now-h.since), "ran", h.ran, "held", h.held)
 	p.gone[h.name] = c.now
 	c.settleAll(p, h, func(*task) bool { return true })
 	delete(p.hosts, h.name)
 	p.replan = true
 }
 
+// meter adds up how the host's cores were used since it was last called.
+func (c *Core) meter(h *host) {
+	dt := seconds(c.now - h.metered)
+	h.metered = c.now
+	if dt > 5 {
+		return // the first time
+	}
+	for _, t := range h.tasks {
+		if t.state == Running {
+			h.ran += t.need.Cores * dt
+		} else {
+			h.held += t.need.Cores * dt
+		}
+	}
+}
+
+func (c *Core) typeName(h *host) string {
+	if h.typ < 0 {
+		return "unknown"
+	}
+	return c.types[h.typ].Name
+}
+
 // listHosts reads the cloud's list of machines. It lags, so a machine's
 // absence proves nothing; it brings machines nobody expected and failures.
 func (c *Core) listHosts() {
