Serve by time left to the aim; return machines far too slow

Cause: under bursts the order of equal-priority work decides which aims hold. Slow machines: TestAMachineFarTooSlowIsReturned; judged against all machines, as estimates may be wrong for all.

--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -40,7 +40,8 @@
 	blockUntil   time.Duration
 	patience     time.Duration
 	errors       int
-	slow         float64
+	slow         float64 // run times over estimates, as a running mean
+	judged       int
 	idleSince    time.Duration
 	failed       bool
 
@@ -499,7 +500,8 @@
 	switch r.Cause {
 	case Done:
 		if j := t.job(); j != nil && t.started > 0 && !t.inherited {
-			c.ran(j, seconds(c.now-t.started)/h.slow)
+			c.judge(p, h, seconds(c.now-t.started)/c.estimate(j))
+			c.ran(j, seconds(c.now-t.started))
 			h.errors = 0
 		}
 		c.settle(p, t, true)
@@ -528,6 +530,22 @@
 	c.settle(p, t, false)
 }
 
+// farTooSlow is how many times as long as expected a machine's tasks may run.
+// Single estimates are often wrong by half and more, so several are looked at.
+const farTooSlow = 3.0
+
+// judge gives a machine up whose tasks all run far longer than expected.
+func (c *Core) judge(p *part, h *host, ratio float64) {
+	h.slow += 0.3 * (min(ratio, 10) - h.slow)
+	// On some days all estimates are too low; that is no machine's fault.
+	c.allSlow += 0.1 * (min(ratio, 10) - c.allSlow)
+	if h.judged++; h.judged >= 4 && h.slow > farTooSlow*max(c.allSlow, 1) && !h.failed {
+		h.failed = true
+		p.replan = true
+		c.note(1, "host far too slow", "host", h.name, "part", p.name, "factor", h.slow)
+	}
+}
+
 func (t *task) job() *job {
 	if t.slice == nil {
 		return nil
@@ -599,7 +617,7 @@
 func (c *Core) expectedEnd(t *task) time.Duration {
 	est := 30.0
 	if j := t.job(); j != nil {
-		est = c.estimate(j) * max(t.host.slow, 0.5)
+		est = c.estimate(j)
 	}
 	if t.state == Running || t.state == Saving {
 		ran := seconds(c.now - t.started)
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -168,7 +168,7 @@
 	t := &c.types[h.typ]
 	now := seconds(c.now)
 	d := &plan.Device{Kind: c.kind(h.part.zone, h.typ, h.spot), Total: t.Total.plan(), Up: now,
-		SPerGB: c.fetchRate(h.typ), Slow: h.slow, FetchAt: seconds(h.fetchEnd),
+		SPerGB: c.fetchRate(h.typ), Slow: 1, FetchAt: seconds(h.fetchEnd),
 		Images: make(map[int]float64, len(h.images)+1), Uses: make([]plan.Use, 0, len(h.tasks)+4)}
 	if h.state == booting {
 		d.Up = max(seconds(h.eta), now+1)
@@ -189,7 +189,8 @@
 }
 
 // ready lists the slices with waiting tasks in the order they are served:
-// teams within their guarantee first, then by priority, then by arrival.
+// by priority, teams within their guarantee first, then by the time left to
+// their aim or deadline.
 func (c *Core) ready(p *part) []*slice {
 	var list []*slice
 	for _, s := range p.slices {
@@ -210,14 +211,27 @@
 		if x.spec.Priority != y.spec.Priority {
 			return x.spec.Priority < y.spec.Priority
 		}
-		if x.born != y.born {
-			return x.born < y.born
+		if dx, dy := c.startBy(x), c.startBy(y); dx != dy {
+			return dx < dy
 		}
 		return x.id < y.id
 	})
 	return list
 }
 
+// startBy is when a job should have started to end as its class's aim or its
+// deadline asks; without either it counts as due in ten minutes.
+func (c *Core) startBy(j *job) float64 {
+	by := 600.0
+	if f, ok := c.cfg.Finishes[j.spec.Class]; ok {
+		by = min(by, f)
+	}
+	if j.spec.Deadline > 0 {
+		by = min(by, j.spec.Deadline)
+	}
+	return seconds(j.since) + by - c.estimate(j)
+}
+
 // teamUse is what a team uses in all parts, as far as known here.
 func (c *Core) teamUse(team int) Amount {
 	var sum Amount
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -407,3 +407,21 @@
 	ends(t, w, job, 3*time.Minute)
 	assert.Equal(t, starts, w.Referee.Starts, "nothing had to run again")
 }
+
+func TestAMachineFarTooSlowIsReturned(t *testing.T) {
+	w := day(t, 18)
+	s := spec("job-1", "red", 60, 4)
+	s.Zone = "a"
+	job := w.Submit(s, 10*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 6)))
+	var slow *Worker
+	for k := range w.On("job-1") {
+		if slow == nil || k.name < slow.name {
+			slow = k
+		}
+	}
+	slow.Slow = 8
+	assert.True(t, w.Until(10*time.Minute, func() bool { return slow.gone }), "%s is returned", slow.name)
+	require.False(t, job.Over(), "while it was still needed")
+	ends(t, w, job, 10*time.Minute)
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -18,6 +18,7 @@
 	gone         bool
 	deleted      bool
 	hangUntil    time.Duration
+	Slow         float64       // factor on run times
 	notice       time.Duration // when the machine is taken, 0: not known
 
 	session, seq, token uint64
@@ -44,7 +45,7 @@
 }
 
 func newWorker(w *World, name, typ, zone string, spot bool) *Worker {
-	return &Worker{w: w, name: name, typ: typ, zone: zone, spot: spot, born: w.Now, session: 1,
+	return &Worker{w: w, name: name, typ: typ, zone: zone, spot: spot, born: w.Now, session: 1, Slow: 1,
 		tasks: map[core.TaskID]*running{}, images: map[string]bool{}}
 }
 
@@ -249,7 +250,7 @@
 		if job.Spec.Service {
 			return
 		}
-		k.step(t, epoch, job.Run, func() {
+		k.step(t, epoch, time.Duration(float64(job.Run)*k.Slow), func() {
 			job.Finished[o.Task.Index] = true
 			k.end(t, core.Done)
 		})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -100,7 +100,7 @@
 	d := &s.Deployment
 	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 	cfg := core.Config{
-		Label: s.Label, Zone: s.Location, Zones: d.Zones, Waits: map[string]float64{},
+		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
 		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
@@ -115,8 +115,8 @@
 			Limit: core.Amount{Cores: t.CPUsMax, Cards: t.GPUsMax}})
 	}
 	for _, ob := range d.Objectives {
-		if w, ok := cfg.Waits[ob.Class]; ob.Kind == "wait" && (!ok || ob.WithinS < w) {
-			cfg.Waits[ob.Class] = ob.WithinS
+		if f, ok := cfg.Finishes[ob.Class]; ob.Kind == "finished" && (!ok || ob.WithinS < f) {
+			cfg.Finishes[ob.Class] = ob.WithinS
 		}
 	}
 	return cfg
