--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,7 +93,6 @@
 	classRatio     []float64 // observed over estimated run time, by class
 	sPerGB         map[int]float64
 	kinds          []classKinds // by class
-	allSlow        float64      // run times over estimates, as a running mean over all machines
 	tickAt, sizeAt time.Duration
 	stats          Stats
 }
@@ -131,7 +130,6 @@
 		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
 		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{},
 		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sentAt: map[uint64]time.Duration{}, sPerGB: map[int]float64{},
-		allSlow:   1,
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
 	c.gossipSeq = cfg.Boot << 32 // no number of an earlier life comes again
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -538,8 +538,13 @@
 func (c *Core) judge(p *part, h *host, ratio float64) {
 	h.slow += 0.3 * (min(ratio, 10) - h.slow)
 	// On some days all estimates are too low; that is no machine's fault.
-	c.allSlow += 0.1 * (min(ratio, 10) - c.allSlow)
-	if h.judged++; h.judged >= 4 && h.slow > farTooSlow*max(c.allSlow, 1) && !h.failed {
+	usual, n := 0.0, 0.0
+	for _, o := range p.hosts {
+		if o != h && o.judged > 1 {
+			usual, n = usual+o.slow, n+1
+		}
+	}
+	if h.judged++; h.judged >= 4 && n > 0 && h.slow > farTooSlow*max(usual/n, 1) && !h.failed {
 		h.failed = true
 		p.replan = true
 		c.note(1, "host far too slow", "host", h.name, "part", p.name, "factor", h.slow)
