--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -159,7 +159,7 @@
 			coming += c.holds(r.typ, per) * r.op.Number
 		}
 	}
-	short := n.hire - coming
+	short := n.tasks - coming
 	if short <= 0 {
 		return
 	}
@@ -203,9 +203,6 @@
 func (c *Core) hireRoom(p *part, cores float64) {
 	for _, o := range c.offers(p) {
 		t := &c.types[c.typeIdx.known(o.Type)]
-		if !o.Spot {
-			continue // dear machines are hired for work that is there
-		}
 		if n := int(cores/t.Total.Cores + 0.5); n > 0 {
 			c.hire(p, o, min(n, 4))
 			return
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -20,7 +20,6 @@
 	job   *job
 	tasks int
 	after float64 // seconds until the first of them would start here
-	hire  int     // tasks that would start sooner on a machine hired now
 }
 
 // work does what is due for a part: plans, records, sends.
@@ -288,11 +287,10 @@
 		}
 		var starts []plan.Placement
 		placed := plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) { starts = append(starts, pl) })
-		late, after, hire := n-placed, 60.0, n-placed
-		boot := now + c.bootOf(p, j)
+		late, after := n-placed, 60.0
 		ids := s.waiting.first(n)
 		if j.spec.Gang && !c.allNow(starts, n, all) {
-			p.shortage = append(p.shortage, need{j, n, 60, n})
+			p.shortage = append(p.shortage, need{j, n, 60})
 			continue
 		}
 		if j.spec.Gang && n > 0 {
@@ -303,30 +301,16 @@
 			if pl.Start > now+soon || h.state != up {
 				late++
 				after = min(after, pl.Start-now)
-				if pl.Start > boot {
-					hire++
-				}
 				continue
 			}
 			c.place(p, s, ids[k], h, pl.Finish)
 		}
 		if late > 0 {
-			p.shortage = append(p.shortage, need{j, late, after, hire})
+			p.shortage = append(p.shortage, need{j, late, after})
 		}
 	}
 }
 
-// bootOf is how soon a machine hired now for the job would be up.
-func (c *Core) bootOf(p *part, j *job) float64 {
-	best := 60.0
-	for t := range c.types {
-		if c.typesOf(j)&(1<<t) != 0 && contains(c.types[t].Zones, p.name) {
-			best = min(best, c.types[t].BootS)
-		}
-	}
-	return best
-}
-
 // allNow says whether every task of a gang can start now.
 func (c *Core) allNow(starts []plan.Placement, n int, all []device) bool {
 	for _, pl := range starts {
