--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -68,18 +68,19 @@
 	return cmd
 }
 
-func age(s float64) string {
+// ago says how long ago something was; a negative age means never.
+func ago(s float64) string {
 	if s < 0 {
 		return "never"
 	}
-	return fmt.Sprintf("%.1fs", s)
+	return fmt.Sprintf("%.1fs ago", s)
 }
 
 func printStatus(out io.Writer, s *core.Status) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(w, "%s in %s\thealthy: %t\tstore view: %s old\tcloud view: %s old\n", s.Label, s.Zone, s.Healthy, age(s.Store.AgeS), age(s.Cloud.AgeS))
+	fmt.Fprintf(w, "%s in %s\thealthy: %t\tstore seen: %s\tcloud seen: %s\n", s.Label, s.Zone, s.Healthy, ago(s.Store.AgeS), ago(s.Cloud.AgeS))
 	for _, d := range s.Degraded {
-		fmt.Fprintf(w, "DEGRADED\t%s\tfor %s\n", d.Mode, age(d.SinceS))
+		fmt.Fprintf(w, "DEGRADED\t%s\tfor %.1fs\n", d.Mode, d.SinceS)
 	}
 	fmt.Fprintln(w, "\nPART\tOWNER\tTOKEN\tJOBS\tWAITING\tON MACHINES\tMACHINES")
 	for _, p := range s.Parts {
@@ -107,7 +108,7 @@
 	}
 	fmt.Fprintln(w, "\nOTHER CONTROLLER\tHEARD\tREACHES THE STATE SERVICE")
 	for _, p := range s.Peers {
-		fmt.Fprintf(w, "%s\t%s ago\t%t\n", p.Label, age(p.AgeS), p.StoreOK)
+		fmt.Fprintf(w, "%s\t%s\t%t\n", p.Label, ago(p.AgeS), p.StoreOK)
 	}
 	return w.Flush()
 }
