--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,34 +67,34 @@
 	quotas []*quota // by team
 	limits []Team   // by team
 
-	deafUntil      time.Duration
-	cloudOK        time.Duration // when the cloud last answered a listing
-	cloudBadSince  time.Duration
-	heard          map[string]map[string]time.Duration // workers of others' parts, by zone
-	lease          uint64
-	leaseSent      time.Duration // when the last good renewal was sent
-	leaseBusy      bool
-	leaseRetry     time.Duration
-	storeOK        time.Duration // when a call that then succeeded was last sent
-	storeBadSince  time.Duration
-	storeSeen      bool
-	partsView      view
-	jobsView       view
-	gossipAt       time.Duration
-	gossipSeq      uint64
-	sentAt         map[uint64]time.Duration // when my gossip of late was sent, by number
-	withdrawn      []withdrawal
-	batch          []*submission
-	batching       map[string]*submission
-	commitsInUse   int
-	listAt         time.Duration
-	listBusy       bool
-	shown          map[string][]Shown
-	classRatio     []float64 // observed over estimated run time, by class
-	sPerGB         map[int]float64
-	kinds          []classKinds // by class
-	tickAt, sizeAt time.Duration
-	stats          Stats
+	deafUntil     time.Duration
+	cloudOK       time.Duration // when the cloud last answered a listing
+	cloudBadSince time.Duration
+	heard         map[string]map[string]time.Duration // workers of others' parts, by zone
+	lease         uint64
+	leaseSent     time.Duration // when the last good renewal was sent
+	leaseBusy     bool
+	leaseRetry    time.Duration
+	storeOK       time.Duration // when a call that then succeeded was last sent
+	storeBadSince time.Duration
+	storeSeen     bool
+	partsView     view
+	jobsView      view
+	gossipAt      time.Duration
+	gossipSeq     uint64
+	sentAt        map[uint64]time.Duration // when my gossip of late was sent, by number
+	withdrawn     []withdrawal
+	batch         []*submission
+	batching      map[string]*submission
+	commitsInUse  int
+	listAt        time.Duration
+	listBusy      bool
+	shown         map[string][]Shown
+	classRatio    []float64 // observed over estimated run time, by class
+	sPerGB        map[int]float64
+	kinds         []classKinds // by class
+	tickAt        time.Duration
+	stats         Stats
 }
 
 // Stats are counters for the operators.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -172,7 +172,6 @@
 	spec    Spec
 	split   map[string]ranges
 	reqs    []uint64
-	sent    bool
 	alone   bool
 	arrived time.Duration
 }
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"roadcleat/internal/plan"
@@ -86,10 +87,7 @@
 		if res.Found && json.Unmarshal(res.Item.Value, &v) != nil {
 			return
 		}
-		split := map[string]ranges{}
-		for z, r := range j.split {
-			split[z] = r
-		}
+		split := maps.Clone(j.split)
 		split[to.name] = nil
 		for _, i := range ids {
 			s.waiting.remove(i)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -230,9 +230,9 @@
 // lose ends ownership at once.
 func (c *Core) lose(p *part, why string) {
 	c.note(2, "part lost", "part", p.name, "token", p.token, "why", why)
-	*p = part{zone: p.zone, name: p.name, hosts: map[string]*host{}, gone: map[string]time.Duration{},
-		slices: map[string]*slice{}, dirty: map[string]*slice{}, scarce: map[Offer]time.Duration{},
-		refreshing: map[string]bool{}, hireSeq: p.hireSeq}
+	fresh := newPart(p.zone, p.name)
+	fresh.hireSeq = p.hireSeq
+	*p = *fresh
 }
 
 // keepParts claims free parts and hands parts home.
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"time"
 )
@@ -69,6 +70,9 @@
 	if json.Unmarshal(value, &q.grants) != nil {
 		q.known = false
 	}
+	if q.grants == nil {
+		q.grants = map[string]grant{} // the value was null
+	}
 }
 
 func (c *Core) learnQuota(q *quota, found bool, value []byte, stamp uint64) {
@@ -130,10 +134,7 @@
 	if used.Cards > mine.Cards {
 		want.Cards = min(used.Cards+lim.Cards/16, mine.Cards+lim.Cards-sum.Cards)
 	}
-	next := map[string]grant{}
-	for z, g := range q.grants {
-		next[z] = g
-	}
+	next := maps.Clone(q.grants) // known, so there is a map
 	next[p.name] = want
 	return next, true
 }
@@ -182,10 +183,7 @@
 		return false
 	}
 	delete(q.idleAt, p.name)
-	next := map[string]grant{}
-	for z, g := range q.grants {
-		next[z] = g
-	}
+	next := maps.Clone(q.grants) // known, so there is a map
 	if next[p.name] = (grant{used.Cores, used.Cards}); used.Cores <= 1e-6 && used.Cards <= 1e-6 {
 		delete(next, p.name)
 	}
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 	"time"
 )
@@ -462,7 +463,7 @@
 			w.done = append(w.done, s.job)
 			w.drops = append(w.drops, id)
 			w.slices[id] = s
-			w.settled[s] = copyOf(s.settled)
+			w.settled[s] = maps.Clone(s.settled)
 			w.news = append(w.news, Item{Key: s.job.key(), Value: value})
 			return len(value)
 		}
@@ -503,18 +504,10 @@
 	value := s.value()
 	w.txn.Apply = append(w.txn.Apply, Set{Key: key, Value: value})
 	w.slices[id] = s
-	w.settled[s] = copyOf(s.settled)
+	w.settled[s] = maps.Clone(s.settled)
 	return len(value)
 }
 
-func copyOf(m map[int]outcome) map[int]outcome {
-	out := make(map[int]outcome, len(m))
-	for k, v := range m {
-		out[k] = v
-	}
-	return out
-}
-
 // finishTogether sets a job of several parts done once every slice is
 // complete. Each owner looks after its own slice is recorded complete, so the
 // last of them sees all.
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -29,10 +29,8 @@
 	nextAt              time.Duration
 	dirty               bool
 
-	tasks    map[core.TaskID]*running
-	images   map[string]bool
-	fetchEnd time.Duration
-	life     int
+	tasks  map[core.TaskID]*running
+	images map[string]bool
 }
 
 type running struct {
