Planning, gossip and records cost by what changes, not by the size of the fleet

Cause: the owners' processor.

Spread now takes each machine at a bound and looks closely only at those that may be best; a test compares it with trying every machine. Plans pause by their cost, machines are kept in order, orders are sent to hosts that have some. Gossip sums machines up by how they look alike. Completed tasks' ends are written together within 4 s, small jobs go to one part.

Ruled out: more parts than zones.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -19,11 +19,22 @@
 type Client struct {
 	http   *httpc.Client
 	tokens *rate.Limiter
+	calls  float64
 }
 
-// New makes a client with a share of the cloud's calls per second.
-func New(addr string, calls float64) *Client {
-	return &Client{http: httpc.New(addr, 6), tokens: rate.NewLimiter(rate.Limit(calls), max(int(2*calls), 1))}
+// New makes a client of a cloud that takes so many calls a second from all
+// controllers together. It starts with the share given.
+func New(addr string, calls, share float64) *Client {
+	c := &Client{http: httpc.New(addr, 6), tokens: rate.NewLimiter(0, 1), calls: calls}
+	c.Share(share)
+	return c
+}
+
+// Share sets this controller's share of the calls.
+func (c *Client) Share(share float64) {
+	calls := c.calls * share
+	c.tokens.SetLimit(rate.Limit(calls))
+	c.tokens.SetBurst(max(int(2*calls), 1))
 }
 
 const timeout = 4 * time.Second
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 	rng     *rand.Rand
 
 	zones, teams, images, classes names
+	imageGB                       []float64 // by image
 	types                         []MachineType
 	typeIdx                       names
 	catalogAt, catalogAsked       time.Duration
@@ -94,6 +95,7 @@
 	sPerGB        map[int]float64
 	kinds         []classKinds // by class
 	tickAt        time.Duration
+	share         Share
 	stats         Stats
 }
 
@@ -192,6 +194,7 @@
 		c.keepParts()
 		c.keepHosts()
 		c.gossip()
+		c.keepShare()
 	}
 	for _, p := range c.parts {
 		if p.mine && p.loaded {
@@ -214,6 +217,29 @@
 	c.emit(Call{c.callSeq, op})
 }
 
+// keepShare divides the budgets of the state service and the cloud. Owners do
+// most of the asking, so a portion goes by parts owned and only the rest to all
+// alike. By one rule on one view of the parts, the shares never add up to more
+// than all of it; where views differ for a moment, a refused call is repeated.
+func (c *Core) keepShare() {
+	owned := 0
+	for _, p := range c.parts {
+		if p.mine || p.claiming {
+			owned++
+		}
+	}
+	all, parts := 1/float64(1+len(c.peers)), 0.0
+	if len(c.parts) > 0 {
+		parts = float64(owned) / float64(len(c.parts))
+	}
+	by := func(portion float64) float64 { return portion*parts + (1-portion)*all }
+	s := Share{Requests: by(0.5), Changes: by(0.65), Calls: by(0.8)}
+	if s != c.share {
+		c.share = s
+		c.emit(s)
+	}
+}
+
 // store notes whether the state service answers.
 func (c *Core) store(sent time.Duration, ok bool) {
 	if ok {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -320,6 +320,9 @@
 		To      int
 		Message Message
 	}
+	// Share is this controller's share of what all of them may ask of the state
+	// service and the cloud: from 0 to 1.
+	Share struct{ Requests, Changes, Calls float64 }
 	// Observed is a measurement for the operators.
 	Observed struct {
 		What  int
@@ -385,7 +388,8 @@
 type PartView struct {
 	Zone   string
 	Token  uint64
-	Hosts  []HostView
+	Hosts  []HostGroup
+	Images []ImageShare
 	Scarce []Offer // machines that were refused lately
 	Show   []Shown
 	Used   map[string]Amount
@@ -397,20 +401,23 @@
 	Spot bool
 }
 
-// HostView is a machine as the other controllers need to know it.
-type HostView struct {
-	Name, Type string
-	Spot       bool
-	Up         float64 // seconds until it can take work
-	Uses       []UseView
-	Images     []string
-	FetchAt    float64
+// HostGroup is machines that look alike to another controller: of one type and
+// kind, with as much in use for about as long. Hundreds of machines make a few
+// dozen groups.
+type HostGroup struct {
+	Type    string
+	Spot    bool
+	Count   int
+	Up      float64 // seconds until they can take work
+	Used    Amount  // of each
+	For     float64 // seconds until that is free again
+	FetchAt float64 // seconds until fetches queued are through
 }
 
-// UseView is room taken for some seconds more.
-type UseView struct {
-	For    float64
-	Amount Amount
+// ImageShare is the share of a type's machines that hold an image.
+type ImageShare struct {
+	Image, Type string
+	Share       float64
 }
 
 // Shown holds a job's counts for display.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -48,6 +48,7 @@
 	tasks    map[TaskID]*task
 	reported map[TaskID]Reported
 	queue    []Order
+	queued   bool                 // on the part's list of hosts with orders
 	unsure   map[launchKey]launch // launches that may still be under way
 	busy     bool                 // an /orders call is open
 	greetAt  time.Duration
@@ -106,7 +107,7 @@
 		h = &host{name: name, part: p, typ: -1, state: up, since: c.now, lastHeard: c.now, slow: 1, patience: c.cfg.Report * 18 / 10,
 			tasks: map[TaskID]*task{}, reported: map[TaskID]Reported{}, unsure: map[launchKey]launch{},
 			images: map[int]time.Duration{}, fetching: map[int]time.Duration{}, idleSince: c.now}
-		p.hosts[name] = h
+		p.addHost(h)
 	}
 	return h
 }
@@ -165,7 +166,7 @@
 	case t.slice == nil || t.slice.job.standing != Pending:
 		c.halt(p, t, 0)
 	default:
-		h.queue = append(h.queue, Order{Verb: Launch, Task: t.id, Attempt: t.attempt})
+		p.enqueue(h, Order{Verb: Launch, Task: t.id, Attempt: t.attempt})
 	}
 }
 
@@ -208,10 +209,26 @@
 		c.stats.Requeued++
 		c.note(1, "task back in the queue", "job", t.id.Job, "task", t.id.Index, "host", t.host.name, "part", p.name)
 	}
-	p.dirty[s.job.id] = s
+	c.ended(p, s, done)
 	p.replan = true
 }
 
+// recordWithin is how long the end of one of a slice's tasks may wait to be
+// written down together with others.
+const recordWithin = 4 * time.Second
+
+// ended has an end recorded. A completed task's may wait: until it is durable
+// the task stays in its worker's report, where an owner that comes after me
+// finds it, and the room it took is free by the report alone. What ends the
+// slice, or must start again, is written at once.
+func (c *Core) ended(p *part, s *slice, done bool) {
+	if !done || s.complete() {
+		p.dirty[s.job.id] = s
+	} else if _, waits := p.later[s.job.id]; !waits {
+		p.later[s.job.id] = c.now + recordWithin
+	}
+}
+
 // halt stops a task. One that was never sent anywhere is off its host at once.
 func (c *Core) halt(p *part, t *task, leeway float64) {
 	if !t.sent && !t.inherited && !t.seen {
@@ -229,7 +246,29 @@
 		return
 	}
 	t.halting, t.leeway, t.haltAt = true, leeway, c.now
-	t.host.queue = append(t.host.queue, Order{Verb: Halt, Task: t.id, Attempt: t.attempt, Leeway: leeway})
+	p.enqueue(t.host, Order{Verb: Halt, Task: t.id, Attempt: t.attempt, Leeway: leeway})
+}
+
+// enqueue notes an order for a host; the part looks only at hosts that have some.
+func (p *part) enqueue(h *host, o Order) {
+	h.queue = append(h.queue, o)
+	if !h.queued {
+		h.queued = true
+		p.toSend = append(p.toSend, h)
+	}
+}
+
+// sendOrders sends what hosts should do now, and keeps those it can't reach yet.
+func (c *Core) sendOrders(p *part) {
+	kept := p.toSend[:0]
+	for _, h := range p.toSend {
+		if c.flushOrders(p, h); len(h.queue) > 0 && p.hosts[h.name] == h {
+			kept = append(kept, h)
+		} else {
+			h.queued = false
+		}
+	}
+	p.toSend = kept
 }
 
 // beat answers a worker's report.
@@ -280,6 +319,10 @@
 	if !p.loaded {
 		return nil
 	}
+	if len(h.tasks)+len(h.reported) == 0 {
+		h.queue = h.queue[:0]
+		return nil
+	}
 	var out []Order
 	for _, id := range sortedTasks(h.tasks) {
 		t := h.tasks[id]
@@ -369,6 +412,7 @@
 	h.spot = rep.Spot
 	if h.state == booting {
 		h.state, h.since, h.idleSince = up, c.now, c.now
+		p.replan = true
 		c.note(1, "host up", "host", h.name, "part", p.name, "after", seconds(c.now-h.hiredAt))
 	}
 	if rep.Session > h.session {
@@ -471,7 +515,7 @@
 		s.waiting.remove(i)
 		s.done.add(i)
 		s.settled[i] = outcome{max(r.Attempt, s.next), true}
-		p.dirty[s.job.id] = s
+		c.ended(p, s, true)
 	}
 }
 
@@ -536,21 +580,28 @@
 
 // judge gives a machine up whose tasks all run far longer than expected.
 func (c *Core) judge(p *part, h *host, ratio float64) {
-	h.slow += 0.3 * (min(ratio, 10) - h.slow)
 	// On some days all estimates are too low; that is no machine's fault.
-	usual, n := 0.0, 0.0
-	for _, o := range p.hosts {
-		if o != h && o.judged > 1 {
-			usual, n = usual+o.slow, n+1
-		}
+	p.unjudge(h)
+	usual, n := p.slowSum, float64(p.slowN)
+	h.slow += 0.3 * (min(ratio, 10) - h.slow)
+	h.judged++
+	if h.judged > 1 {
+		p.slowSum, p.slowN = p.slowSum+h.slow, p.slowN+1
 	}
-	if h.judged++; h.judged >= 4 && n > 0 && h.slow > farTooSlow*max(usual/n, 1) && !h.failed {
+	if h.judged >= 4 && n > 0 && h.slow > farTooSlow*max(usual/n, 1) && !h.failed {
 		h.failed = true
 		p.replan = true
 		c.note(1, "host far too slow", "host", h.name, "part", p.name, "factor", h.slow)
 	}
 }
 
+// unjudge takes a machine out of the part's sum of factors.
+func (p *part) unjudge(h *host) {
+	if h.judged > 1 {
+		p.slowSum, p.slowN = p.slowSum-h.slow, p.slowN-1
+	}
+}
+
 func (t *task) job() *job {
 	if t.slice == nil {
 		return nil
@@ -581,7 +632,7 @@
 	for {
 		total, oldest := 0.0, -1
 		for img, at := range h.images {
-			total += c.imageGB(img)
+			total += c.imageGB[img]
 			if oldest < 0 || at < h.images[oldest] {
 				oldest = img
 			}
@@ -593,16 +644,6 @@
 	}
 }
 
-// imageGB is an image's size as its jobs state it.
-func (c *Core) imageGB(img int) float64 {
-	for _, j := range c.jobs {
-		if j.image == img {
-			return j.spec.ImageGB
-		}
-	}
-	return 1
-}
-
 // fetchRate is seconds per GB on machines of a type: what was seen, else what
 // the catalogue states, else the operators' setting.
 func (c *Core) fetchRate(typ int) float64 {
@@ -857,7 +898,8 @@
 		"boot_s", seconds(max(h.since-h.hiredAt, 0)), "up_s", seconds(c.now-h.since), "ran", h.ran, "held", h.held)
 	p.gone[h.name] = c.now
 	c.settleAll(p, h, func(*task) bool { return true })
-	delete(p.hosts, h.name)
+	p.unjudge(h)
+	p.dropHost(h)
 	p.replan = true
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -112,11 +112,21 @@
 	spec.ID = id
 	j := &job{id: id, spec: spec, born: stamp, since: c.now, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
 	if spec.Image != "" {
-		j.image = c.images.of(spec.Image)
+		j.image = c.imageOf(&spec)
 	}
 	return j
 }
 
+// imageOf is the dense index of a job's image; its size is what jobs state.
+func (c *Core) imageOf(spec *Spec) int {
+	i := c.images.of(spec.Image)
+	for len(c.imageGB) <= i {
+		c.imageGB = append(c.imageGB, 0)
+	}
+	c.imageGB[i] = max(c.imageGB[i], spec.ImageGB)
+	return i
+}
+
 // finalise records that a job is over.
 func (c *Core) finalise(id string, s Standing) {
 	c.final[id] = s
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -16,11 +16,24 @@
 	})
 }
 
-// hostList lists a part's machines by name.
-func (p *part) hostList() []*host {
-	out := make([]*host, 0, len(p.hosts))
-	for _, name := range sorted(p.hosts) {
-		out = append(out, p.hosts[name])
+// hostList lists a part's machines by name. The list is kept in order as
+// machines come and go: it is gone through far more often than it changes.
+func (p *part) hostList() []*host { return p.order }
+
+func (p *part) addHost(h *host) {
+	p.hosts[h.name] = h
+	i, _ := slices.BinarySearchFunc(p.order, h.name, byName)
+	p.order = slices.Insert(p.order, i, h)
+}
+
+func (p *part) dropHost(h *host) {
+	if p.hosts[h.name] != h {
+		return
+	}
+	delete(p.hosts, h.name)
+	if i, found := slices.BinarySearchFunc(p.order, h.name, byName); found {
+		p.order = slices.Delete(p.order, i, i+1)
 	}
-	return out
 }
+
+func byName(h *host, name string) int { return cmp.Compare(h.name, name) }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -28,15 +28,22 @@
 	homeUp   time.Duration // since when the home controller is seen well
 
 	hosts  map[string]*host
+	order  []*host                  // the same by name
+	toSend []*host                  // hosts with orders
 	gone   map[string]time.Duration // machines whose return was confirmed
 	slices map[string]*slice
 	dirty  map[string]*slice
-	used   []Amount // by team
+	later  map[string]time.Duration // slices with ends to record by then
+	used   []Amount                 // by team
 
 	committing bool
 	refreshing map[string]bool
 	replan     bool
 	planAt     time.Duration
+	planNext   time.Duration // no plan before then: planning leaves room for the rest
+	sizeAt     time.Duration
+	slowSum    float64 // of machines judged by their run times
+	slowN      int
 	retryAt    time.Duration
 	reclaimAt  time.Duration // when a raised token is due, 0 for never
 
@@ -62,7 +69,7 @@
 
 func newPart(zone int, name string) *part {
 	return &part{zone: zone, name: name, hosts: map[string]*host{}, gone: map[string]time.Duration{},
-		slices: map[string]*slice{}, dirty: map[string]*slice{}, scarce: map[Offer]time.Duration{},
+		slices: map[string]*slice{}, dirty: map[string]*slice{}, later: map[string]time.Duration{}, scarce: map[Offer]time.Duration{},
 		refreshing: map[string]bool{}}
 }
 
@@ -163,7 +170,12 @@
 			v.fresh = sent
 			c.store(sent, true)
 			if len(res.News) > 0 {
+				// Jobs are told directly as well, so their view may gather news;
+				// with many jobs each look would bring some.
 				v.nextAt = c.now + 250*time.Millisecond
+				if v == &c.jobsView {
+					v.nextAt = c.now + time.Second
+				}
 			}
 		case Refused:
 			c.store(sent, true)
@@ -357,6 +369,8 @@
 	if !again {
 		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
 		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
+		p.order, p.toSend, p.slowSum, p.slowN = nil, nil, 0, 0
+		p.later = map[string]time.Duration{}
 		p.used = make([]Amount, len(c.limits))
 		p.committing = false
 		c.listAt = 0
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -164,22 +165,7 @@
 
 func (c *Core) viewOf(p *part) PartView {
 	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
-	for _, h := range p.hostList() {
-		if h.typ < 0 || !h.usable(c.now) && h.state != booting {
-			continue
-		}
-		hv := HostView{Name: h.name, Type: c.types[h.typ].Name, Spot: h.spot, FetchAt: h.fetchEnd.Seconds() - c.now.Seconds()}
-		if h.state == booting {
-			hv.Up = seconds(max(h.eta-c.now, time.Second))
-		}
-		for _, t := range h.tasks {
-			hv.Uses = append(hv.Uses, UseView{seconds(c.expectedEnd(t) - c.now), t.need})
-		}
-		for img := range h.images {
-			hv.Images = append(hv.Images, c.images.list[img])
-		}
-		v.Hosts = append(v.Hosts, hv)
-	}
+	v.Hosts, v.Images = c.groups(p)
 	for o, until := range p.scarce {
 		if c.now < until {
 			v.Scarce = append(v.Scarce, o)
@@ -198,3 +184,58 @@
 	}
 	return v
 }
+
+// groups sums a part's machines up.
+func (c *Core) groups(p *part) ([]HostGroup, []ImageShare) {
+	var out []HostGroup
+	at := map[HostGroup]int{}
+	held := make(map[[2]int]int)
+	ofType := make([]int, len(c.types))
+	for _, h := range p.hostList() {
+		if h.typ < 0 || !h.usable(c.now) && h.state != booting {
+			continue
+		}
+		g := HostGroup{Type: c.types[h.typ].Name, Spot: h.spot, FetchAt: roughly(seconds(h.fetchEnd - c.now))}
+		if h.state == booting {
+			g.Up = roughly(seconds(max(h.eta-c.now, time.Second)))
+		} else {
+			ofType[h.typ]++
+		}
+		// One use stands for all: it ends when their mean does, by cores.
+		sum := 0.0
+		for _, t := range h.tasks {
+			g.Used = g.Used.plus(t.need, 1)
+			sum += seconds(c.expectedEnd(t)-c.now) * t.need.Cores
+		}
+		if g.Used.Cores > 0 {
+			g.For = roughly(sum / g.Used.Cores)
+		}
+		for img := range h.images {
+			held[[2]int{img, h.typ}]++
+		}
+		k, known := at[g]
+		if !known {
+			k = len(out)
+			at[g] = k
+			out = append(out, g)
+		}
+		out[k].Count++
+	}
+	var images []ImageShare
+	for img, name := range c.images.list {
+		for typ, n := range ofType {
+			if k := held[[2]int{img, typ}]; k > 0 && n > 0 {
+				images = append(images, ImageShare{name, c.types[typ].Name, min(float64(k)/float64(n), 1)})
+			}
+		}
+	}
+	return out, images
+}
+
+// roughly rounds a time to a power of two, so that machines fall into few groups.
+func roughly(s float64) float64 {
+	if s <= 0.1 {
+		return 0
+	}
+	return math.Exp2(math.Round(math.Log2(max(s, 0.5))))
+}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"math/bits"
 	"sort"
 	"time"
@@ -28,24 +29,28 @@
 		return
 	}
 	c.refresh(p)
-	if c.now >= p.planAt || p.replan {
-		if c.now >= p.planAt {
-			c.sweep(p)
-		}
+	if c.now >= p.planAt {
 		p.planAt = c.now + time.Second
-		if p.replan || len(p.shortage) > 0 {
-			p.replan = false
-			c.plan(p)
-		}
+		c.sweep(p)
+		p.replan = p.replan || len(p.shortage) > 0
+	}
+	if p.replan && c.now >= p.planNext {
+		p.replan = false
+		p.planNext = c.now + c.plan(p)
+		p.sizeAt = min(p.sizeAt, c.now+sizeSoon)
+	}
+	if c.now >= p.sizeAt && !p.replan { // by what the newest plan lacks
+		p.sizeAt = c.now + time.Second
 		c.size(p)
 	}
 	c.record(p)
 	c.maybeMove(p)
-	for _, h := range p.hostList() {
-		c.flushOrders(p, h)
-	}
+	c.sendOrders(p)
 }
 
+// sizeSoon is how soon after a plan the fleet is looked at.
+const sizeSoon = 100 * time.Millisecond
+
 // sweep looks for what events alone would miss.
 func (c *Core) sweep(p *part) {
 	for _, id := range sorted(p.slices) {
@@ -93,11 +98,19 @@
 	}
 }
 
-// step is a job's tasks as the programme's step.
+// step is a job's tasks as the programme's step. What it says of the kinds of
+// machines is worked out once for all machines.
 func (c *Core) step(j *job) *plan.Step {
+	kinds := len(c.parts) * len(c.types) * 2
+	allowed, cost := make([]bool, kinds), make([]float64, kinds)
+	for k := range kinds {
+		if allowed[k] = c.allowedOn(j, k); allowed[k] {
+			cost[k] = c.choiceCost(j, k)
+		}
+	}
 	return &plan.Step{Tasks: 1, Gang: j.spec.Gang, Need: j.spec.Need.plan(), Comp: c.estimate(j), Image: j.image,
-		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return c.allowedOn(j, kind) },
-		Cost: func(kind int) float64 { return c.choiceCost(j, kind) }}
+		ImageGB: j.spec.ImageGB, Allowed: func(kind int) bool { return allowed[kind] },
+		Cost: func(kind int) float64 { return cost[kind] }}
 }
 
 // choiceCost weighs what a choice of machine costs others, in seconds of this
@@ -168,15 +181,17 @@
 	now := seconds(c.now)
 	d := &plan.Device{Kind: c.kind(h.part.zone, h.typ, h.spot), Total: t.Total.plan(), Up: now,
 		SPerGB: c.fetchRate(h.typ), Slow: 1, FetchAt: seconds(h.fetchEnd),
-		Images: make(map[int]float64, len(h.images)+1), Uses: make([]plan.Use, 0, len(h.tasks)+4)}
+		Images: make([]plan.Held, 0, len(h.images)+len(h.fetching)+1), Uses: make([]plan.Use, 0, len(h.tasks)+4)}
 	if h.state == booting {
 		d.Up = max(seconds(h.eta), now+1)
 	}
-	for img := range h.images {
-		d.Images[img] = now
-	}
 	for img, at := range h.fetching {
-		d.Images[img] = max(seconds(at), now+0.2)
+		d.Images = append(d.Images, plan.Held{Image: img, At: max(seconds(at), now+0.2)})
+	}
+	for img := range h.images {
+		if _, fetching := h.fetching[img]; !fetching {
+			d.Images = append(d.Images, plan.Held{Image: img, At: now})
+		}
 	}
 	if len(h.tasks) == 0 {
 		d.Penalty = emptyCost // work that shares machines lets others go back
@@ -202,6 +217,10 @@
 		used, g := c.teamUse(t), c.limits[t].Guarantee
 		within[t] = used.Cores < g.Cores || used.Cards < g.Cards
 	}
+	by := make(map[*slice]float64, len(list))
+	for _, s := range list {
+		by[s] = c.startBy(s.job)
+	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a].job, list[b].job
 		if wx, wy := within[x.team], within[y.team]; x.spec.Priority == y.spec.Priority && wx != wy {
@@ -210,7 +229,7 @@
 		if x.spec.Priority != y.spec.Priority {
 			return x.spec.Priority < y.spec.Priority
 		}
-		if dx, dy := c.startBy(x), c.startBy(y); dx != dy {
+		if dx, dy := by[list[a]], by[list[b]]; dx != dy {
 			return dx < dy
 		}
 		return x.id < y.id
@@ -247,17 +266,30 @@
 // soon is how far from now a planned start may lie to count as now.
 const soon = 0.05
 
+// ahead is how many of a job's tasks that find no room now are given room
+// later, so that work behind them can't take it; what comes after them is
+// planned when they have started.
+const ahead = 32
+
+// Planning costs about this much per machine looked at and per task placed.
+// The pause after a plan is some thirty times that, which leaves a controller
+// with a seventh of a core three quarters of it for everything else.
+const (
+	pausePerLook  = 2 * time.Microsecond
+	pausePerPlace = 60 * time.Microsecond
+)
+
 // plan runs the programme over the part's ready jobs. Tasks whose planned
 // machine has room now are placed; the others stay ready and are planned
-// again as soon as anything changes.
-func (c *Core) plan(p *part) {
+// again as soon as anything changes. It returns how long to pause.
+func (c *Core) plan(p *part) time.Duration {
 	p.shortage = p.shortage[:0]
 	if !c.mayStart() || len(c.types) == 0 {
-		return
+		return 0
 	}
 	ready := c.ready(p)
 	if len(ready) == 0 {
-		return
+		return 0
 	}
 	c.stats.Plans++
 	var all []device
@@ -269,26 +301,35 @@
 		}
 	}
 	now := seconds(c.now)
+	looks, tasks := len(devices), 0
 	for _, s := range ready {
 		j := s.job
-		quota := c.room(p, j.team, j.spec.Need)
-		if quota < s.waiting.count() && c.quotas[j.team].known {
+		waiting, quota := s.waiting.count(), c.room(p, j.team, j.spec.Need)
+		if quota < waiting && c.quotas[j.team].known {
 			c.wantGrants(j.team)
 		}
 		// Placed tasks are listed one by one in the slice's value.
 		most := max(c.cfg.ValueBytes/64-len(s.tasks), 0)
-		n := min(s.waiting.count(), quota, most, 128)
+		n := min(waiting, quota, most, 256)
 		if c.now < j.holdTo {
 			continue
 		}
 		c.sawClass(j)
-		if j.spec.Gang && (len(s.tasks) > 0 || n < s.waiting.count()) {
+		if j.spec.Gang && (len(s.tasks) > 0 || n < waiting) {
 			continue // whole or not at all, and only once the last try is off its machines
 		}
 		var starts []plan.Placement
-		placed := plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) { starts = append(starts, pl) })
-		late, after := n-placed, 60.0
-		ids := s.waiting.first(n)
+		later, after := 0, 60.0
+		looks += len(devices)
+		tasks += plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) bool {
+			if !j.spec.Gang && (pl.Start > now+soon || all[pl.Device].host.state != up) {
+				later++
+				after = min(after, pl.Start-now)
+				return later < ahead
+			}
+			starts = append(starts, pl)
+			return true
+		})
 		if j.spec.Gang && !c.allNow(starts, n, all) {
 			p.shortage = append(p.shortage, need{j, n, 60})
 			continue
@@ -296,19 +337,17 @@
 		if j.spec.Gang && n > 0 {
 			s.next++ // the tasks of a gang know each other by their common attempt
 		}
-		for k, pl := range starts {
-			h := all[pl.Device].host
-			if pl.Start > now+soon || h.state != up {
-				late++
-				after = min(after, pl.Start-now)
-				continue
-			}
-			c.place(p, s, ids[k], h, pl.Finish)
+		for k, i := range s.waiting.first(len(starts)) {
+			c.place(p, s, i, all[starts[k].Device].host)
 		}
-		if late > 0 {
+		if late := min(waiting, quota) - len(starts); late > 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
 		}
 	}
+	if len(devices) < 100 {
+		return 0 // costs nothing to speak of
+	}
+	return time.Duration(looks)*pausePerLook + time.Duration(tasks)*pausePerPlace
 }
 
 // allNow says whether every task of a gang can start now.
@@ -322,7 +361,7 @@
 }
 
 // place books a task on a host; it is launched once that is durable.
-func (c *Core) place(p *part, s *slice, i int, h *host, finish float64) {
+func (c *Core) place(p *part, s *slice, i int, h *host) {
 	j := s.job
 	if !j.spec.Gang {
 		s.next++
@@ -352,21 +391,31 @@
 		return p.devices
 	}
 	now := seconds(p.viewAt)
+	nth := make([]float64, len(c.types)) // machines of a type so far
 	for i := range p.view.Hosts {
 		v := &p.view.Hosts[i]
 		typ := c.typeIdx.known(v.Type)
 		if typ < 0 {
 			continue
 		}
-		d := &plan.Device{Kind: c.kind(p.zone, typ, v.Spot), Total: c.types[typ].Total.plan(), Up: now + v.Up,
-			SPerGB: c.fetchRate(typ), Slow: 1, FetchAt: now + v.FetchAt, Images: map[int]float64{}}
-		for _, img := range v.Images {
-			d.Images[c.images.of(img)] = 0
-		}
-		for _, u := range v.Uses {
-			d.Uses = append(d.Uses, plan.Use{Start: 0, End: now + u.For, Amount: u.Amount.plan()})
+		for range min(v.Count, 5000) {
+			d := &plan.Device{Kind: c.kind(p.zone, typ, v.Spot), Total: c.types[typ].Total.plan(), Up: now + v.Up,
+				SPerGB: c.fetchRate(typ), Slow: 1, FetchAt: now + v.FetchAt}
+			if v.Used.Cores > 0 || v.Used.Cards > 0 {
+				d.Uses = append(make([]plan.Use, 0, 4), plan.Use{Start: 0, End: now + v.For, Amount: v.Used.plan()})
+			}
+			if v.Up == 0 {
+				// Which machines hold an image is not told, only how many do: it
+				// is dealt out evenly.
+				nth[typ]++
+				for _, s := range p.view.Images {
+					if s.Type == v.Type && math.Floor(nth[typ]*s.Share) > math.Floor((nth[typ]-1)*s.Share) {
+						d.Images = append(d.Images, plan.Held{Image: c.images.of(s.Image)})
+					}
+				}
+			}
+			p.devices = append(p.devices, device{d, p.zone, nil})
 		}
-		p.devices = append(p.devices, device{d, p.zone, nil})
 	}
 	return p.devices
 }
@@ -406,7 +455,7 @@
 			total := typ.Total.plan()
 			for i := 0; i < 2; i++ {
 				out = append(out, device{&plan.Device{Kind: c.kind(p.zone, t, spot), Total: total,
-					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1, Images: map[int]float64{}}, p.zone, nil})
+					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1}, p.zone, nil})
 			}
 		}
 	}
@@ -432,7 +481,7 @@
 func (c *Core) deal(spec *Spec) map[string]ranges {
 	j := &job{id: spec.ID, spec: *spec, image: -1, class: c.classes.of(spec.Class), team: c.teams.known(spec.Team)}
 	if spec.Image != "" {
-		j.image = c.images.of(spec.Image)
+		j.image = c.imageOf(spec)
 	}
 	step := c.step(j)
 	byZone := make([][]device, len(c.parts))
@@ -454,6 +503,9 @@
 			most = (spec.Tasks + 1) / 2
 		}
 		c.spreadOver(step, spec.Tasks, most, byZone, counts, now)
+		if spec.Tasks <= oneSlice && !spec.Apart {
+			together(counts)
+		}
 	}
 	split := map[string]ranges{}
 	at := 0
@@ -466,6 +518,23 @@
 	return split
 }
 
+// oneSlice is how many tasks a job may have to go to one part as a whole: each
+// further part costs changes at the state service at its coming, and reads of
+// all slices at its end. What finds no room there moves later.
+const oneSlice = 40
+
+// together gives all tasks to the part that has most of them.
+func together(counts []int) {
+	best, sum := 0, 0
+	for z, n := range counts {
+		if sum += n; n > counts[best] {
+			best = z
+		}
+	}
+	clear(counts)
+	counts[best] = sum
+}
+
 // zoneHolds says whether the zone has a machine type that the job allows.
 func (c *Core) zoneHolds(j *job, p *part) bool {
 	for t := range c.types {
@@ -526,17 +595,17 @@
 				devices, zones = append(devices, d.Device), append(zones, z)
 			}
 		}
-		got := -1
-		plan.Spread(step, 1, devices, now, func(pl plan.Placement) { got = zones[pl.Device] })
-		if got < 0 {
+		got := plan.Spread(step, sample, devices, now, func(pl plan.Placement) bool {
+			z := zones[pl.Device]
+			counts[z]++
+			open[z] = counts[z] < most
+			return open[z]
+		})
+		if got == 0 {
 			break
 		}
-		counts[got]++
-		sample--
-		left--
-		if counts[got] >= most {
-			open[got] = false
-		}
+		sample -= got
+		left -= got
 	}
 	// The rest of a large job in the same proportions, within the limit.
 	dealt := n - left
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -423,6 +423,13 @@
 // record gathers what must be made durable into one transaction: placements
 // just planned, ends just proven, grants that must grow first.
 func (c *Core) record(p *part) {
+	for _, id := range sorted(p.later) {
+		if s := p.slices[id]; s == nil {
+			delete(p.later, id)
+		} else if c.now >= p.later[id] {
+			p.dirty[id] = s
+		}
+	}
 	if len(p.dirty) == 0 || p.committing || p.claiming || p.yielding || c.now < p.retryAt || len(p.refreshing) > 0 {
 		return
 	}
@@ -436,6 +443,7 @@
 			break
 		}
 		delete(p.dirty, id)
+		delete(p.later, id)
 		size += c.recordSlice(p, w, id, s)
 	}
 	if len(w.txn.Apply) > 0 {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -95,7 +95,7 @@
 				if h.Up > 0 {
 					state = "booting"
 				}
-				ps.count(h.Type, h.Spot, state)
+				ps.count(h.Type, h.Spot, state, h.Count)
 			}
 		}
 		for _, h := range p.hostList() {
@@ -103,7 +103,7 @@
 			if h.typ >= 0 {
 				typ = c.types[h.typ].Name
 			}
-			ps.count(typ, h.spot, h.stateName(c.now))
+			ps.count(typ, h.spot, h.stateName(c.now), 1)
 		}
 		for _, sl := range p.slices {
 			if sl.job.standing != Pending {
@@ -136,14 +136,14 @@
 	return s
 }
 
-func (p *PartStatus) count(typ string, spot bool, state string) {
+func (p *PartStatus) count(typ string, spot bool, state string, n int) {
 	for i := range p.Hosts {
 		if h := &p.Hosts[i]; h.Type == typ && h.Spot == spot && h.State == state {
-			h.Count++
+			h.Count += n
 			return
 		}
 	}
-	p.Hosts = append(p.Hosts, HostCount{typ, spot, state, 1})
+	p.Hosts = append(p.Hosts, HostCount{typ, spot, state, n})
 }
 
 func (h *host) stateName(now time.Duration) string {
--- a/internal/plan/device.go
+++ b/internal/plan/device.go
@@ -3,7 +3,7 @@
 // pure: it sees a picture of the machines and returns a schedule.
 package plan
 
-import "sort"
+import "slices"
 
 // Amount is what a task takes of its machine.
 type Amount struct{ Cores, Cards, Mem float64 }
@@ -32,17 +32,23 @@
 	Amount     Amount
 }
 
+// Held is an image of a machine and when it is there.
+type Held struct {
+	Image int
+	At    float64
+}
+
 // Device is one machine as the programme sees it.
 type Device struct {
-	Kind    int             // machine type, zone and kind as a dense index of the caller's
-	Total   Amount          // what the machine has
-	Up      float64         // when it can first take work
-	Uses    []Use           // room taken by running and planned work
-	Images  map[int]float64 // image -> when the machine has it
-	FetchAt float64         // when the fetches queued there are through
-	SPerGB  float64         // seconds to fetch one GB
-	Slow    float64         // factor on run times, 1 for an ordinary machine
-	Penalty float64         // seconds added when choices are compared, for cost
+	Kind    int     // machine type, zone and kind as a dense index of the caller's
+	Total   Amount  // what the machine has
+	Up      float64 // when it can first take work
+	Uses    []Use   // room taken by running and planned work
+	Images  []Held  // images there or being fetched
+	FetchAt float64 // when the fetches queued there are through
+	SPerGB  float64 // seconds to fetch one GB
+	Slow    float64 // factor on run times, 1 for an ordinary machine
+	Penalty float64 // seconds added when choices are compared, for cost
 }
 
 // cost is what the choice of this device costs beside time, in seconds.
@@ -56,13 +62,20 @@
 func (d *Device) clone() *Device {
 	c := *d
 	c.Uses = append(make([]Use, 0, len(d.Uses)+4), d.Uses...)
-	c.Images = make(map[int]float64, len(d.Images)+1)
-	for k, v := range d.Images {
-		c.Images[k] = v
-	}
+	c.Images = append(make([]Held, 0, len(d.Images)+1), d.Images...)
 	return &c
 }
 
+// has says when the machine has an image, if it holds or fetches it.
+func (d *Device) has(image int) (float64, bool) {
+	for i := range d.Images {
+		if d.Images[i].Image == image {
+			return d.Images[i].At, true
+		}
+	}
+	return 0, false
+}
+
 // fits says whether need is free during the whole of [from, to).
 func (d *Device) fits(need Amount, from, to float64) bool {
 	if !d.inUse(from).Plus(need).Within(d.Total) {
@@ -115,47 +128,73 @@
 		return 0, 0, false
 	}
 	from := max(ready, d.Up)
-	starts := make([]float64, 1, len(d.Uses)+1)
-	starts[0] = from
-	for _, u := range d.Uses {
-		if u.End > from {
+	if end := d.endFrom(s, from); d.fits(s.Need, from, end) {
+		return from, end, true
+	}
+	var room [24]float64
+	starts := room[:0]
+	for i := range d.Uses {
+		if u := &d.Uses[i]; u.End > from {
 			starts = append(starts, u.End)
 		}
 	}
-	sort.Float64s(starts)
-	slow := d.Slow
-	if slow <= 0 {
-		slow = 1
-	}
+	slices.Sort(starts)
 	for _, t := range starts {
-		avail := t
-		if s.Image >= 0 {
-			if at, has := d.Images[s.Image]; has {
-				avail = max(avail, at)
-			} else {
-				avail = max(avail, d.FetchAt) + s.ImageGB*d.SPerGB
-			}
-		}
-		end := avail + s.Comp*slow
-		if d.fits(s.Need, t, end) {
+		if end := d.endFrom(s, t); d.fits(s.Need, t, end) {
 			return t, end, true
 		}
 	}
 	return 0, 0, false
 }
 
+// endFrom is when a task ends that takes its room at t.
+func (d *Device) endFrom(s *Step, t float64) float64 {
+	avail := t
+	if s.Image >= 0 {
+		if at, has := d.has(s.Image); has {
+			avail = max(avail, at)
+		} else {
+			avail = max(avail, d.FetchAt) + s.ImageGB*d.SPerGB
+		}
+	}
+	if d.Slow > 0 {
+		return avail + s.Comp*d.Slow
+	}
+	return avail + s.Comp
+}
+
+// bound is a time before which no task of s can end on the device, at a
+// fraction of the cost of try. It is false when a task never fits.
+func (d *Device) bound(s *Step, ready float64) (float64, bool) {
+	if !s.Need.Within(d.Total) {
+		return 0, false
+	}
+	from := max(ready, d.Up)
+	next := -1.0 // the first moment at which room is given back
+	var used Amount
+	for i := range d.Uses {
+		if u := &d.Uses[i]; u.Start <= from && from < u.End {
+			used = used.Plus(u.Amount)
+			if next < 0 || u.End < next {
+				next = u.End
+			}
+		}
+	}
+	if !used.Plus(s.Need).Within(d.Total) {
+		from = next
+	}
+	return d.endFrom(s, from), true
+}
+
 // place books a placement on the device.
 func (d *Device) place(s *Step, start, finish float64) {
 	d.Uses = append(d.Uses, Use{start, finish, s.Need})
 	if s.Image < 0 {
 		return
 	}
-	if _, has := d.Images[s.Image]; !has {
+	if _, has := d.has(s.Image); !has {
 		at := max(start, d.FetchAt) + s.ImageGB*d.SPerGB
-		if d.Images == nil {
-			d.Images = map[int]float64{}
-		}
-		d.Images[s.Image] = at
+		d.Images = append(d.Images, Held{s.Image, at})
 		d.FetchAt = at
 	}
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -286,24 +286,111 @@
 // Spread places n equal, independent tasks one by one, each on its
 // earliest-finish machine, and books them on the devices given. It is Solve
 // for a one-step pipeline without the copying. A gang waits for the first
-// moment at which all n have room. It stops at the first task
-// that fits nowhere.
-func Spread(s *Step, n int, devices []*Device, ready float64, visit func(Placement)) int {
-	p := &partial{}
+// moment at which all n have room. It stops at the first task that fits
+// nowhere, or when visit returns false, and returns how many it placed.
+//
+// Each machine is first taken at its bound and looked at closely only when no
+// other can be better, so a large fleet costs little more than the machines
+// that come into question.
+func Spread(s *Step, n int, devices []*Device, ready float64, visit func(Placement) bool) int {
 	if s.Gang {
 		whole := *s
 		whole.Tasks = n
-		ready = p.together(&whole, devices, ready)
+		ready = (&partial{}).together(&whole, devices, ready)
 	}
+	h := make(candidates, 0, len(devices))
+	for d, dev := range devices {
+		if s.Allowed != nil && !s.Allowed(dev.Kind) {
+			continue
+		}
+		if at, ok := dev.bound(s, ready); ok {
+			h = append(h, candidate{cost: at + dev.cost(s), device: d})
+		}
+	}
+	h.init()
 	for t := 0; t < n; t++ {
-		d := p.earliest(s, devices, ready)
-		if d < 0 {
+		for len(h) > 0 && !h[0].exact {
+			if c := &h[0]; c.look(s, devices[c.device], ready) {
+				h.sink(0)
+			} else {
+				h.drop()
+			}
+		}
+		if len(h) == 0 {
 			return t
 		}
-		dev := devices[d]
-		start, end, _ := dev.try(s, ready)
-		dev.place(s, start, end)
-		visit(Placement{0, t, d, start, end})
+		c := h[0]
+		dev := devices[c.device]
+		dev.place(s, c.start, c.finish)
+		if !visit(Placement{0, t, c.device, c.start, c.finish}) {
+			return t + 1
+		}
+		// A placement changes this machine only, and never to end the next
+		// task sooner than this one.
+		h[0].exact = false
+		h.sink(0)
 	}
 	return n
 }
+
+// candidate is a machine with the cost of the next task on it: exact, or at
+// least that.
+type candidate struct {
+	cost          float64
+	device        int
+	exact         bool
+	start, finish float64
+}
+
+// look makes the cost exact.
+func (c *candidate) look(s *Step, dev *Device, ready float64) bool {
+	start, end, ok := dev.try(s, ready)
+	c.start, c.finish, c.cost, c.exact = start, end, end+dev.cost(s), true
+	return ok
+}
+
+// before orders by cost; of equal ones those not exact come first, so that the
+// first machine in order wins among equals.
+func (c *candidate) before(o *candidate) bool {
+	if c.cost != o.cost {
+		return c.cost < o.cost
+	}
+	if c.exact != o.exact {
+		return !c.exact
+	}
+	return c.device < o.device
+}
+
+// candidates is a heap, cheapest first.
+type candidates []candidate
+
+func (h candidates) init() {
+	for i := len(h)/2 - 1; i >= 0; i-- {
+		h.sink(i)
+	}
+}
+
+// sink moves an element down to its place; costs only grow.
+func (h candidates) sink(i int) {
+	for {
+		k := 2*i + 1
+		if k >= len(h) {
+			return
+		}
+		if k+1 < len(h) && h[k+1].before(&h[k]) {
+			k++
+		}
+		if !h[k].before(&h[i]) {
+			return
+		}
+		h[i], h[k] = h[k], h[i]
+		i = k
+	}
+}
+
+func (h *candidates) drop() {
+	last := len(*h) - 1
+	(*h)[0] = (*h)[last]
+	*h = (*h)[:last]
+	h.sink(0)
+}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestQueuedFetchesAndQueueWaitCount(t *testing.T) {
-	busy := &Device{Total: Amount{Cores: 4}, SPerGB: 5, Images: map[int]float64{0: 0},
+	busy := &Device{Total: Amount{Cores: 4}, SPerGB: 5, Images: []Held{{0, 0}},
 		Uses: []Use{{0, 30, Amount{Cores: 4}}}}
 	bare := &Device{Total: Amount{Cores: 4}, SPerGB: 5, FetchAt: 10}
 	step := Step{Tasks: 1, Need: Amount{Cores: 2}, Comp: 20, ImageGB: 2}
@@ -75,7 +75,7 @@
 	big := Step{Need: Amount{Cores: 8}, Comp: 10, Image: -1}
 	small := Step{Need: Amount{Cores: 2}, Comp: 10, Image: -1}
 	var at []float64
-	visit := func(p Placement) { at = append(at, p.Start) }
+	visit := func(p Placement) bool { at = append(at, p.Start); return true }
 	Spread(&big, 1, []*Device{d}, 0, visit)
 	Spread(&small, 1, []*Device{d}, 0, visit)
 	assert.Equal(t, []float64{50, 0}, at)
@@ -86,7 +86,7 @@
 	busy := &Device{Total: Amount{Cores: 4}, Uses: []Use{{0, 30, Amount{Cores: 4}}}}
 	gang := Step{Need: Amount{Cores: 4}, Comp: 10, Image: -1, Gang: true}
 	var starts []float64
-	require.Equal(t, 2, Spread(&gang, 2, []*Device{free, busy}, 0, func(p Placement) { starts = append(starts, p.Start) }))
+	require.Equal(t, 2, Spread(&gang, 2, []*Device{free, busy}, 0, func(p Placement) bool { starts = append(starts, p.Start); return true }))
 	assert.Equal(t, []float64{30, 30}, starts)
 }
 
@@ -104,3 +104,45 @@
 	assert.Len(t, got.Placements, 12)
 	assert.False(t, Solve([]Step{{Tasks: 1, Need: Amount{Cores: 9}}}, devices, 0, 16).Complete)
 }
+
+// plainly is Spread as the programme states it: every machine tried for every task.
+func plainly(s *Step, n int, devices []*Device, ready float64) []Placement {
+	var out []Placement
+	for t := 0; t < n; t++ {
+		d := (&partial{}).earliest(s, devices, ready)
+		if d < 0 {
+			break
+		}
+		start, end, _ := devices[d].try(s, ready)
+		devices[d].place(s, start, end)
+		out = append(out, Placement{0, t, d, start, end})
+	}
+	return out
+}
+
+func TestSpreadPicksWhatTryingEveryMachineWould(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 8))
+	for round := 0; round < 300; round++ {
+		var one, two []*Device
+		for range 1 + rng.IntN(12) {
+			d := &Device{Kind: rng.IntN(3), Total: Amount{Cores: float64(2 + 2*rng.IntN(4)), Mem: 32}, SPerGB: 2, Slow: 1,
+				Up: float64(rng.IntN(3) * 10), FetchAt: float64(rng.IntN(20)), Penalty: float64(rng.IntN(2))}
+			for range rng.IntN(5) {
+				d.Uses = append(d.Uses, Use{0, float64(rng.IntN(40)), Amount{Cores: 1, Mem: 4}})
+			}
+			if rng.IntN(2) == 0 {
+				d.Images = append(d.Images, Held{rng.IntN(3), float64(rng.IntN(15))})
+			}
+			one, two = append(one, d), append(two, d.clone())
+		}
+		for range 4 {
+			s := &Step{Need: Amount{Cores: float64(1 + rng.IntN(4)), Mem: 4}, Comp: float64(1 + rng.IntN(20)), Image: rng.IntN(4) - 1, ImageGB: 3,
+				Cost: func(kind int) float64 { return float64(kind) * 3 }, Allowed: func(kind int) bool { return kind != 2 }}
+			n, want := 1+rng.IntN(20), []Placement(nil)
+			var got []Placement
+			Spread(s, n, one, 5, func(p Placement) bool { got = append(got, p); return true })
+			want = plainly(s, n, two, 5)
+			require.Equal(t, want, got, "round %d", round)
+		}
+	}
+}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -136,6 +136,9 @@
 			r.answer(e.Req, e)
 		case core.Tell:
 			r.links[e.To].Send(e.Message)
+		case core.Share:
+			r.state.Share(e.Requests, e.Changes)
+			r.cloud.Share(e.Calls)
 		case core.Observed:
 			r.seen.Observe(e)
 		case core.Note:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -46,8 +46,8 @@
 
 	share := 1 / float64(1+len(s.Others))
 	d := &s.Deployment
-	st := state.New(s.External.State, 0.93*d.State.RPS*share, 0.93*d.State.WriteRPS*share)
-	cl := cloud.New(s.External.Cloud, 0.93*d.Cloud.RPS*share)
+	st := state.New(s.External.State, 0.93*d.State.RPS, 0.93*d.State.WriteRPS, d.State.TxnOps, share)
+	cl := cloud.New(s.External.Cloud, 0.93*d.Cloud.RPS, share)
 	var links []*peer.Link
 	var labels []string
 	for _, other := range s.Others {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -22,16 +22,33 @@
 	follow   *httpc.Client // open watches hold no connection others wait for
 	requests *rate.Limiter
 	changes  *rate.Limiter
+
+	allRequests, allChanges float64
+	txnOps                  int
 }
 
-// New makes a client with a share of the service's budgets per second.
-func New(addr string, requests, changes float64) *Client {
-	return &Client{
-		http:     httpc.New(addr, 24),
-		follow:   httpc.New(addr, 4),
-		requests: rate.NewLimiter(rate.Limit(requests), max(int(requests), 1)),
-		changes:  rate.NewLimiter(rate.Limit(changes), max(int(changes), 1)),
-	}
+// New makes a client of a service that takes so many requests and changes a
+// second from all controllers together, and so many changes a transaction. It
+// starts with the share given.
+func New(addr string, requests, changes float64, txnOps int, share float64) *Client {
+	c := &Client{
+		http:        httpc.New(addr, 24),
+		follow:      httpc.New(addr, 4),
+		requests:    rate.NewLimiter(0, 1),
+		changes:     rate.NewLimiter(0, 1),
+		allRequests: requests, allChanges: changes, txnOps: txnOps,
+	}
+	c.Share(share, share)
+	return c
+}
+
+// Share sets this controller's share of the budgets.
+func (c *Client) Share(requests, changes float64) {
+	r, w := c.allRequests*requests, c.allChanges*changes
+	c.requests.SetLimit(rate.Limit(r))
+	c.requests.SetBurst(max(int(r), 1))
+	c.changes.SetLimit(rate.Limit(w))
+	c.changes.SetBurst(max(int(w), c.txnOps)) // the largest transaction must pass
 }
 
 const timeout = 2 * time.Second
