Peer links stay up; polls are compared with the store many at a time

Cause 2: each poll read its job's key; users' polls, bunched at one controller, took its share of requests, and what came on top got 503. A transaction that only compares says of up to four times txn_ops stamps at once that they hold, which is as good as fresh reads.

Ruled out: budgets of the service itself (62 of 150 requests a second were used).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
+	"strings"
 	"time"
 
 	"roadcleat/internal/plan"
@@ -51,6 +53,8 @@
 	out     []any
 	calls   map[uint64]func(any)
 	callSeq uint64
+	asked   map[string]int // calls by kind since they were last logged
+	askedAt time.Duration
 	rng     *rand.Rand
 
 	zones, teams, images, classes names
@@ -87,6 +91,10 @@
 	withdrawn     []withdrawal
 	batch         []*submission
 	batching      map[string]*submission
+	asking        map[string][]uint64 // users' questions by job, not yet compared
+	askOrder      []string
+	verifying     int
+	verifyAt      time.Duration
 	commitsInUse  int
 	listAt        time.Duration
 	listBusy      bool
@@ -128,9 +136,9 @@
 // New makes a controller that owns nothing yet.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, calls: map[uint64]func(any){},
+		cfg: cfg, calls: map[uint64]func(any){}, asked: map[string]int{},
 		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
-		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{},
+		jobs: map[string]*job{}, final: map[string]Standing{}, batching: map[string]*submission{}, asking: map[string][]uint64{},
 		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sentAt: map[uint64]time.Duration{}, sPerGB: map[int]float64{},
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
@@ -185,6 +193,7 @@
 	}
 	c.out = c.out[:0]
 	c.flushSubmissions()
+	c.flushPolls()
 	if c.now >= c.tickAt {
 		c.tickAt = c.now + 100*time.Millisecond
 		c.keepLease()
@@ -195,6 +204,7 @@
 		c.keepHosts()
 		c.gossip()
 		c.keepShare()
+		c.noteCalls()
 	}
 	for _, p := range c.parts {
 		if p.mine && p.loaded {
@@ -214,9 +224,24 @@
 func (c *Core) call(op any, then func(any)) {
 	c.callSeq++
 	c.calls[c.callSeq] = then
+	c.asked[reflect.TypeOf(op).Name()]++
 	c.emit(Call{c.callSeq, op})
 }
 
+// noteCalls logs what was asked of the outside lately.
+func (c *Core) noteCalls() {
+	if c.now < c.askedAt {
+		return
+	}
+	c.askedAt = c.now + 15*time.Second
+	args := []any{"share", c.share.Requests}
+	for _, k := range sorted(c.asked) {
+		args = append(args, strings.ToLower(strings.TrimSuffix(k, "Op")), c.asked[k])
+	}
+	clear(c.asked)
+	c.note(1, "calls in 15 s", args...)
+}
+
 // keepShare divides the budgets of the state service and the cloud. Owners do
 // most of the asking, so a portion goes by parts owned and only the rest to all
 // alike. By one rule on one view of the parts, the shares never add up to more
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -194,6 +194,7 @@
 )
 
 func (c *Core) refuse(req uint64, status, after int, why string) {
+	c.note(0, "refused", "status", status, "why", why)
 	c.emit(Reply{Req: req, Status: status, RetryAfter: after, Why: why})
 }
 
@@ -360,7 +361,7 @@
 		}
 		c.emit(Observed{Batch, float64(len(group))})
 		c.commitsInUse++
-		c.commit(t, false, func(res CommitResult) {
+		c.commit(t, true, func(res CommitResult) {
 			c.commitsInUse--
 			c.accepted(group, t, res)
 		})
@@ -380,7 +381,7 @@
 		c.tellAll(Message{Jobs: news})
 		for _, b := range group {
 			delete(c.batching, b.spec.ID)
-			c.note(1, "job accepted", "job", b.spec.ID, "tasks", b.spec.Tasks, "parts", len(b.split))
+			c.note(1, "job accepted", "job", b.spec.ID, "tasks", b.spec.Tasks, "parts", len(b.split), "after", seconds(c.now-b.arrived))
 			for i, req := range b.reqs {
 				status := 201
 				if i > 0 {
@@ -430,7 +431,101 @@
 		c.emit(Reply{Req: e.Req, Status: 200, Run: RunState{ID: e.ID, Standing: s}})
 		return
 	}
-	c.lookUp(e.Req, e.ID, func() { c.refuse(e.Req, 404, 0, "no such job") })
+	if c.asking[e.ID] == nil {
+		if len(c.asking) >= maxAsking {
+			c.refuse(e.Req, 503, retryBusy, "too many questions at once")
+			return
+		}
+		c.askOrder = append(c.askOrder, e.ID)
+	}
+	c.asking[e.ID] = append(c.asking[e.ID], e.Req)
+}
+
+const (
+	maxAsking   = 1024
+	verifyEvery = 50 * time.Millisecond
+)
+
+// flushPolls checks with one request that the jobs users asked for are as this
+// controller knows them: a transaction that only compares says of many stamps
+// at once that they hold now, which is as good as reading each key. One read
+// per question would take most of what the state service allows.
+func (c *Core) flushPolls() {
+	if len(c.askOrder) == 0 || c.verifying > 1 || c.now < c.verifyAt {
+		return
+	}
+	n := min(len(c.askOrder), 4*c.cfg.TxnOps)
+	ids := append([]string(nil), c.askOrder[:n]...)
+	c.askOrder = append(c.askOrder[:0], c.askOrder[n:]...)
+	reqs := map[string][]uint64{}
+	for _, id := range ids {
+		reqs[id] = c.asking[id]
+		delete(c.asking, id)
+	}
+	c.verifyAt = c.now + verifyEvery
+	c.verify(ids, reqs)
+}
+
+// verify answers the questions about the jobs given.
+func (c *Core) verify(ids []string, reqs map[string][]uint64) {
+	stamps := make(map[string]uint64, len(ids))
+	var t Txn
+	for _, id := range ids {
+		if j := c.jobs[id]; j != nil {
+			stamps[id] = j.stamp
+		}
+		t.Guards = append(t.Guards, Guard{"job/" + id, stamps[id]})
+	}
+	c.verifying++
+	c.commit(t, true, func(res CommitResult) {
+		c.verifying--
+		switch res.Outcome {
+		case OK:
+			for _, id := range ids {
+				for _, req := range reqs[id] {
+					c.verified(req, id, stamps[id] > 0)
+				}
+			}
+		case Refused:
+			// What differs is read. The rest is compared again without it:
+			// a refusal need not name every key that differs.
+			var same []string
+			for _, id := range ids {
+				if !contains(res.Failed, "job/"+id) {
+					same = append(same, id)
+					continue
+				}
+				for _, req := range reqs[id] {
+					c.lookUp(req, id, func() { c.refuse(req, 404, 0, "no such job") })
+				}
+			}
+			if len(same) == len(ids) {
+				c.unverified(ids, reqs)
+			} else if len(same) > 0 {
+				c.verify(same, reqs)
+			}
+		default:
+			c.unverified(ids, reqs)
+		}
+	})
+}
+
+// verified answers with what the comparison has shown to hold. A job may have
+// ended in the meantime; its end is then known here and is newer.
+func (c *Core) verified(req uint64, id string, exists bool) {
+	if _, over := c.final[id]; !exists && !over && c.jobs[id] == nil {
+		c.refuse(req, 404, 0, "no such job")
+		return
+	}
+	c.emit(Reply{Req: req, Status: 200, Run: c.runState(id)})
+}
+
+func (c *Core) unverified(ids []string, reqs map[string][]uint64) {
+	for _, id := range ids {
+		for _, req := range reqs[id] {
+			c.refuse(req, 503, retryBusy, "state service out of reach")
+		}
+	}
 }
 
 // withdraw cancels a job.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,12 +34,13 @@
 type Link struct {
 	self, addr string
 	queue      chan core.Message
+	patience   time.Duration // with a message that is not confirmed
 	log        *slog.Logger
 }
 
 // NewLink makes a link; Run must be running for it to carry anything.
 func NewLink(self, addr string, log *slog.Logger) *Link {
-	return &Link{self: self, addr: addr, queue: make(chan core.Message, queueLen), log: log}
+	return &Link{self: self, addr: addr, queue: make(chan core.Message, queueLen), patience: confirmWithin, log: log}
 }
 
 // Send queues a message; when the queue is full the oldest one is dropped.
@@ -86,11 +87,15 @@
 	// connection that a cut has made useless would swallow messages for as
 	// long as the kernel takes them.
 	var unconfirmed atomic.Int64
+	var progress atomic.Int64 // when it last had none, or a byte came, in ms
+	start := time.Now()
+	now := func() int64 { return time.Since(start).Milliseconds() }
 	broken := make(chan error, 1)
 	go func() {
 		buf := make([]byte, 64)
 		for {
 			n, err := conn.Read(buf)
+			progress.Store(now())
 			unconfirmed.Add(int64(-n))
 			if err != nil {
 				broken <- fmt.Errorf("confirmations: %w", err)
@@ -98,20 +103,22 @@
 			}
 		}
 	}()
-	lastClear := time.Now()
+	look := time.NewTicker(l.patience / 5)
+	defer look.Stop()
 	for {
-		if unconfirmed.Load() <= 0 {
-			lastClear = time.Now()
-		} else if time.Since(lastClear) > confirmWithin {
-			return fmt.Errorf("no confirmation for %s", confirmWithin)
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-broken:
 			return err
+		case <-look.C:
+			if unconfirmed.Load() > 0 && now()-progress.Load() > l.patience.Milliseconds() {
+				return fmt.Errorf("no confirmation for %s", l.patience)
+			}
 		case m := <-l.queue:
-			unconfirmed.Add(1)
+			if unconfirmed.Add(1) == 1 {
+				progress.Store(now())
+			}
 			if err := conn.SetWriteDeadline(time.Now().Add(ioTimeout)); err != nil {
 				return err
 			}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,3 +59,41 @@
 	}
 	assert.Equal(t, uint64(5), (<-l.queue).Boot)
 }
+
+func TestALinkThatIsConfirmedStaysAndAMuteOneIsGivenUp(t *testing.T) {
+	// Once the age of a confirmation was looked at right after sending, when
+	// there is always one outstanding: every link broke every few seconds.
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, mute := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		conns := make(chan net.Conn, 100)
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				conns <- conn
+				if !mute {
+					go func() { _ = receive(conn, []string{"n2"}, func(int, core.Message) {}) }()
+				}
+			}
+		}()
+		l := NewLink("n2", ln.Addr().String(), log)
+		l.patience = 100 * time.Millisecond
+		go l.Run(ctx)
+		for range 40 {
+			l.Send(core.Message{Boot: 1})
+			time.Sleep(20 * time.Millisecond)
+		}
+		if mute {
+			assert.Greater(t, len(conns), 1)
+		} else {
+			assert.Len(t, conns, 1)
+		}
+		ln.Close()
+	}
+}
