--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,6 +90,7 @@
 	sentAt        map[uint64]time.Duration // when my gossip of late was sent, by number
 	withdrawn     []withdrawal
 	batch         []*submission
+	batchAt       time.Duration
 	batching      map[string]*submission
 	asking        map[string][]uint64 // users' questions by job, not yet compared
 	askOrder      []string
@@ -104,6 +105,8 @@
 	kinds         []classKinds // by class
 	tickAt        time.Duration
 	share         Share
+	shareAt       time.Duration
+	wanted, wants Share // calls made since shareAt, and by the second of late
 	stats         Stats
 }
 
@@ -225,6 +228,13 @@
 	c.callSeq++
 	c.calls[c.callSeq] = then
 	c.asked[reflect.TypeOf(op).Name()]++
+	switch op := op.(type) {
+	case CommitOp:
+		c.wanted.Requests++
+		c.wanted.Changes += float64(len(op.Txn.Apply))
+	case ReadOp, ListOp, FollowOp, HoldOp, RenewOp:
+		c.wanted.Requests++
+	}
 	c.emit(Call{c.callSeq, op})
 }
 
@@ -242,11 +252,30 @@
 	c.note(1, "calls in 15 s", args...)
 }
 
-// keepShare divides the budgets of the state service and the cloud. Owners do
-// most of the asking, so a portion goes by parts owned and only the rest to all
-// alike. By one rule on one view of the parts, the shares never add up to more
-// than all of it; where views differ for a moment, a refused call is repeated.
+// keepShare divides the budgets. Of the cloud's calls most go to owners, by
+// parts. Of the state service's requests and changes a portion goes to all
+// alike and the rest by what each needed lately, as its gossip says: users bunch
+// at one controller, and an owner's work comes in bursts. By one rule on nearly
+// one view the shares hardly add up to more than all of it; where they do, a
+// refused call is repeated.
 func (c *Core) keepShare() {
+	if c.now < c.shareAt {
+		return
+	}
+	c.shareAt = c.now + 500*time.Millisecond
+	// The mean of some seconds, so that a burst counts at once and is not
+	// forgotten at once.
+	c.wants.Requests += 0.2 * (2*c.wanted.Requests - c.wants.Requests)
+	c.wants.Changes += 0.2 * (2*c.wanted.Changes - c.wants.Changes)
+	c.wanted = Share{}
+	mine, sum := Share{c.wants.Requests + 1, c.wants.Changes + 1, 0}, Share{}
+	sum = mine
+	for _, q := range c.peers {
+		if q.gossip != nil && c.now < q.gossipAt+3*time.Second {
+			sum.Requests += q.gossip.Wants.Requests + 1
+			sum.Changes += q.gossip.Wants.Changes + 1
+		}
+	}
 	owned := 0
 	for _, p := range c.parts {
 		if p.mine || p.claiming {
@@ -257,8 +286,8 @@
 	if len(c.parts) > 0 {
 		parts = float64(owned) / float64(len(c.parts))
 	}
-	by := func(portion float64) float64 { return portion*parts + (1-portion)*all }
-	s := Share{Requests: by(0.5), Changes: by(0.65), Calls: by(0.8)}
+	s := Share{Requests: 0.4*all + 0.6*mine.Requests/sum.Requests, Changes: 0.4*all + 0.6*mine.Changes/sum.Changes,
+		Calls: 0.2*all + 0.8*parts}
 	if s != c.share {
 		c.share = s
 		c.emit(s)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -379,6 +379,7 @@
 	Echo      map[string]uint64 // the newest Seq heard of each other controller
 	Withdrawn []Item            // withdrawals the sender learned of lately
 	StoreOK   bool
+	Wants     Share // what it asked of the state service lately, a second
 	Parts     []PartView
 	Heard     map[string]int // workers of parts not its own heard lately
 	Deaf      bool           // it gave a part up because it did not hear its workers
@@ -389,6 +390,7 @@
 	Zone   string
 	Token  uint64
 	Hosts  []HostGroup
+	Queue  []Backlog
 	Images []ImageShare
 	Scarce []Offer // machines that were refused lately
 	Show   []Shown
@@ -414,6 +416,14 @@
 	FetchAt float64 // seconds until fetches queued are through
 }
 
+// Backlog is how long work of a priority that waits for a type of machine keeps
+// all those of the part busy.
+type Backlog struct {
+	Type     string
+	Priority int
+	Seconds  float64
+}
+
 // ImageShare is the share of a type's machines that hold an image.
 type ImageShare struct {
 	Image, Type string
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 )
@@ -17,10 +18,10 @@
 	asked   time.Duration
 }
 
-// sample is the demand at a moment, in cores.
+// sample is the demand at a moment, in cores by pool of machine types.
 type sample struct {
 	at    time.Duration
-	cores float64
+	cores []float64
 }
 
 // size keeps the part's fleet near its demand: machines for waiting work at
@@ -34,48 +35,124 @@
 	for _, h := range p.hosts {
 		c.meter(h)
 	}
-	demand := 0.0
-	for _, u := range p.used {
-		demand += u.Cores
+	pools := c.pools()
+	demand := make([]float64, len(pools))
+	for _, h := range p.hostList() {
+		if h.typ >= 0 {
+			for _, t := range h.tasks {
+				demand[poolOf(pools, h.typ)] += t.need.Cores
+			}
+		}
 	}
 	for _, s := range p.slices {
-		if s.job.standing == Pending && s.job.team >= 0 {
+		if s.job.standing == Pending && s.job.team >= 0 && len(s.waiting) > 0 {
 			n := min(s.waiting.count(), c.room(p, s.job.team, s.job.spec.Need))
-			demand += float64(n) * s.job.spec.Need.Cores
+			if typ := c.usualType(s.job); typ >= 0 {
+				demand[poolOf(pools, typ)] += float64(n) * s.job.spec.Need.Cores
+			}
 		}
 	}
-	if k := len(p.demand); k == 0 || c.now >= p.demand[k-1].at+time.Second {
+	if k := len(p.demand); k == 0 || c.now >= p.demand[k-1].at+time.Second || len(p.demand[k-1].cores) != len(demand) {
 		p.demand = append(p.demand, sample{c.now, demand})
 	} else {
-		p.demand[k-1].cores = max(p.demand[k-1].cores, demand)
+		for i, d := range demand {
+			p.demand[k-1].cores[i] = max(p.demand[k-1].cores[i], d)
+		}
 	}
 	for len(p.demand) > 0 && p.demand[0].at < c.now-c.cfg.Knobs.Window {
 		p.demand = p.demand[1:]
 	}
-	peak, mean := 0.0, 0.0
-	for _, s := range p.demand {
-		peak = max(peak, s.cores)
-		mean += s.cores / float64(len(p.demand))
-	}
 	if c.now >= p.loadAt {
 		p.loadAt = c.now + 15*time.Second
-		c.noteLoad(p, demand, peak, mean)
+		c.noteLoad(p, demand)
 	}
-	target := peak + mean*c.cfg.Knobs.SpareShare
-	capacity := c.capacity(p)
-	if c.mayStart() && c.storeWell() {
+	coming := c.coming(p)
+	may := c.mayStart() && c.storeWell()
+	if may {
 		for _, n := range p.shortage {
-			c.hireFor(p, n, &capacity)
+			c.hireFor(p, n, coming)
 		}
-		if capacity < target && mean > 0 {
-			c.hireRoom(p, target-capacity)
+	}
+	for i, types := range pools {
+		peak, mean := 0.0, 0.0
+		for _, s := range p.demand {
+			if len(s.cores) == len(pools) { // not from before a class was met
+				peak = max(peak, s.cores[i])
+				mean += s.cores[i] / float64(len(p.demand))
+			}
+		}
+		target := peak + mean*c.cfg.Knobs.SpareShare
+		if capacity := c.capacity(p, types); may && capacity < target && mean > 0 {
+			c.hireRoom(p, types, target-capacity)
 		}
+		c.returnIdle(p, types, target)
 	}
-	c.returnIdle(p, target)
+}
+
+// pools groups the machine types that the same classes of jobs can use. Room
+// on one type of a pool is as good as on another; room on another pool's may be
+// none at all to the work that waits.
+func (c *Core) pools() []uint64 {
+	var pools, users []uint64
+next:
+	for t := range min(len(c.types), 64) {
+		by := uint64(0)
+		for class, k := range c.kinds {
+			if class < 64 && k.types&(1<<t) != 0 && c.now < k.at+5*time.Minute {
+				by |= 1 << class
+			}
+		}
+		for i := range users {
+			if users[i] == by {
+				pools[i] |= 1 << t
+				continue next
+			}
+		}
+		pools, users = append(pools, 1<<t), append(users, by)
+	}
+	return pools
+}
+
+func poolOf(pools []uint64, typ int) int {
+	for i, types := range pools {
+		if types&(1<<typ) != 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// usualType is the type that a job's machines are hired of when there is a
+// choice, or -1.
+func (c *Core) usualType(j *job) int {
+	best, price := -1, 0.0
+	for t := range c.types {
+		if c.typesOf(j)&(1<<t) == 0 {
+			continue
+		}
+		if x := c.priceFor(j, Offer{c.types[t].Name, j.spec.Spot}); best < 0 || x < price {
+			best, price = t, x
+		}
+	}
+	return best
+}
+
+// coming counts the machines on their way, by kind.
+func (c *Core) coming(p *part) map[int]float64 {
+	out := map[int]float64{}
+	for _, h := range p.hostList() {
+		if h.state == booting && h.typ >= 0 {
+			out[c.kind(p.zone, h.typ, h.spot)]++
+		}
+	}
+	for _, r := range p.hiring {
+		out[c.kind(p.zone, r.typ, r.op.Spot)] += float64(r.op.Number)
+	}
+	return out
 }
 
 // noteLoad logs how the part's cores are used.
-func (c *Core) noteLoad(p *part, demand, peak, mean float64) {
+func (c *Core) noteLoad(p *part, demand []float64) {
 	var boots, spot, all, run, wait float64
 	for _, h := range p.hosts {
 		if h.typ < 0 {
@@ -99,19 +176,22 @@
 		}
 	}
 	c.note(1, "part load", "part", p.name, "token", p.token, "cores", all, "spot", spot, "booting", boots,
-		"running", run, "fetching", wait, "demand", demand, "peak", peak, "mean", mean)
+		"running", run, "fetching", wait, "demand", demand)
 }
 
-// capacity counts the cores of machines that work, boot or are being hired.
-func (c *Core) capacity(p *part) float64 {
+// capacity counts the cores of machines of the types given that work, boot or
+// are being hired.
+func (c *Core) capacity(p *part, types uint64) float64 {
 	sum := 0.0
 	for _, h := range p.hostList() {
-		if h.typ >= 0 && h.recall == 0 && !h.failed && !h.expired && (h.state == up || h.state == booting) {
+		if h.typ >= 0 && types&(1<<h.typ) != 0 && h.recall == 0 && !h.failed && !h.expired && (h.state == up || h.state == booting) {
 			sum += c.types[h.typ].Total.Cores
 		}
 	}
 	for _, r := range p.hiring {
-		sum += c.types[r.typ].Total.Cores * float64(r.op.Number)
+		if types&(1<<r.typ) != 0 {
+			sum += c.types[r.typ].Total.Cores * float64(r.op.Number)
+		}
 	}
 	return sum
 }
@@ -144,36 +224,35 @@
 }
 
 // hireFor rents machines for work that finds no room soon, beyond what
-// machines booting or asked for will hold.
-func (c *Core) hireFor(p *part, n need, capacity *float64) {
+// machines on their way will hold; those are then spoken for.
+func (c *Core) hireFor(p *part, n need, coming map[int]float64) {
 	per := n.job.spec.Need
-	// Room that is on its way for this shape.
-	coming := 0
-	for _, h := range p.hostList() {
-		if h.state == booting && h.typ >= 0 && c.allowedOn(n.job, c.kind(p.zone, h.typ, h.spot)) {
-			coming += c.holds(h.typ, per)
-		}
-	}
-	for _, r := range p.hiring {
-		if c.allowedOn(n.job, c.kind(p.zone, r.typ, r.op.Spot)) {
-			coming += c.holds(r.typ, per) * r.op.Number
+	short := float64(n.tasks)
+	for _, kind := range sorted(coming) {
+		k := float64(c.holds(kind/2%len(c.types), per))
+		if k == 0 || coming[kind] <= 0 || !c.allowedOn(n.job, kind) || short <= 0 {
+			continue
 		}
+		taken := min(coming[kind], short/k)
+		coming[kind] -= taken
+		short -= taken * k
 	}
-	short := n.tasks - coming
-	if short <= 0 {
+	if short < 0.01 {
 		return
 	}
 	offers := c.offers(p)
 	sort.SliceStable(offers, func(a, b int) bool { return c.priceFor(n.job, offers[a]) < c.priceFor(n.job, offers[b]) })
 	for _, o := range offers {
 		typ := c.typeIdx.known(o.Type)
-		k := c.holds(typ, per)
-		if k == 0 || !c.allowedOn(n.job, c.kind(p.zone, typ, o.Spot)) {
+		k, kind := c.holds(typ, per), c.kind(p.zone, typ, o.Spot)
+		if k == 0 || !c.allowedOn(n.job, kind) {
 			continue
 		}
-		count := min((short+k-1)/k, 50)
-		c.hire(p, o, count)
-		*capacity += float64(count) * c.types[typ].Total.Cores
+		want := short / float64(k)
+		count := min(int(math.Ceil(want-0.01)), 50)
+		if c.hire(p, o, count) {
+			coming[kind] += max(float64(count)-want, 0)
+		}
 		return
 	}
 }
@@ -200,23 +279,23 @@
 }
 
 // hireRoom rents for demand foreseen, one kind at a time.
-func (c *Core) hireRoom(p *part, cores float64) {
+func (c *Core) hireRoom(p *part, types uint64, cores float64) {
 	for _, o := range c.offers(p) {
-		t := &c.types[c.typeIdx.known(o.Type)]
-		if n := int(cores/t.Total.Cores + 0.5); n > 0 {
+		typ := c.typeIdx.known(o.Type)
+		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
 			c.hire(p, o, min(n, 4))
 			return
 		}
 	}
 }
 
-func (c *Core) hire(p *part, o Offer, count int) {
-	if len(p.hiring) >= 4 {
-		return
+func (c *Core) hire(p *part, o Offer, count int) bool {
+	if len(p.hiring) >= 4 || count <= 0 {
+		return false
 	}
 	for _, r := range p.hiring {
 		if r.op.Type == o.Type && r.op.Spot == o.Spot {
-			return // one request per kind at a time
+			return false // one request per kind at a time
 		}
 	}
 	p.hireSeq++
@@ -225,6 +304,7 @@
 	p.hiring = append(p.hiring, &hire{typ: c.typeIdx.known(o.Type), asked: c.now,
 		op: HireOp{Name: name, Type: o.Type, Zone: p.name, Spot: o.Spot, Number: count}})
 	c.pushHires(p)
+	return true
 }
 
 func (c *Core) pushHires(p *part) {
@@ -287,13 +367,15 @@
 
 // returnIdle gives machines back that have been idle for a while and that the
 // recent demand does not ask for, dearest first.
-func (c *Core) returnIdle(p *part, target float64) {
-	if len(p.shortage) > 0 {
-		return
+func (c *Core) returnIdle(p *part, types uint64, target float64) {
+	for _, n := range p.shortage {
+		if c.typesOf(n.job)&types != 0 {
+			return // it may yet go there
+		}
 	}
 	var idle []*host
 	for _, h := range p.hostList() {
-		if h.state == up && h.typ >= 0 && len(h.tasks) == 0 && h.recall == 0 &&
+		if h.state == up && h.typ >= 0 && types&(1<<h.typ) != 0 && len(h.tasks) == 0 && h.recall == 0 &&
 			c.now >= h.idleSince+c.cfg.Knobs.KeepIdle {
 			idle = append(idle, h)
 		}
@@ -306,7 +388,7 @@
 		}
 		return idle[a].name < idle[b].name
 	})
-	capacity := c.capacity(p)
+	capacity := c.capacity(p, types)
 	var back []*host
 	for _, h := range idle {
 		cores := c.types[h.typ].Total.Cores
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -215,7 +215,7 @@
 
 // recordWithin is how long the end of one of a slice's tasks may wait to be
 // written down together with others.
-const recordWithin = 4 * time.Second
+const recordWithin = 8 * time.Second
 
 // ended has an end recorded. A completed task's may wait: until it is durable
 // the task stays in its worker's report, where an owner that comes after me
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -319,7 +319,7 @@
 // flushSubmissions commits what has gathered, as much at a time as one
 // transaction takes.
 func (c *Core) flushSubmissions() {
-	for len(c.batch) > 0 && c.commitsInUse < maxCommits {
+	for len(c.batch) > 0 && c.commitsInUse < maxCommits && c.now >= c.batchAt {
 		var t Txn
 		var group []*submission
 		size := 0
@@ -412,8 +412,15 @@
 			}
 		}
 	default:
+		// Not carried out, mostly for want of tokens. One more try while it is
+		// young; then its user is told at once when to come back.
+		c.batchAt = c.now + 100*time.Millisecond
 		for _, b := range group {
-			c.drop(b, 503, "state service refused")
+			if c.now < b.arrived+400*time.Millisecond {
+				c.batch = append(c.batch, b)
+			} else {
+				c.drop(b, 503, "state service refused")
+			}
 		}
 	}
 }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -61,6 +61,8 @@
 	viewAt    time.Duration
 	devices   []device // the view as the programme sees it
 	devicesAt time.Duration
+	queue     []Backlog // of a part owned here, as of queueAt
+	queueAt   time.Duration
 }
 
 type partValue struct {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -118,7 +118,7 @@
 	c.gossipSeq++
 	c.sentAt[c.gossipSeq] = c.now
 	delete(c.sentAt, c.gossipSeq-120)
-	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, Withdrawn: c.recentlyWithdrawn(), StoreOK: c.storeWell(), Heard: map[string]int{}, Deaf: c.now < c.deafUntil}
+	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, Withdrawn: c.recentlyWithdrawn(), StoreOK: c.storeWell(), Wants: c.wants, Heard: map[string]int{}, Deaf: c.now < c.deafUntil}
 	for zone, hosts := range c.heard {
 		for name, at := range hosts {
 			if c.now > at+6*time.Second {
@@ -166,6 +166,7 @@
 func (c *Core) viewOf(p *part) PartView {
 	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
 	v.Hosts, v.Images = c.groups(p)
+	v.Queue = c.backlog(p)
 	for o, until := range p.scarce {
 		if c.now < until {
 			v.Scarce = append(v.Scarce, o)
@@ -239,3 +240,59 @@
 	}
 	return math.Exp2(math.Round(math.Log2(max(s, 0.5))))
 }
+
+// backlog is how long the part's waiting work will keep its machines busy, by
+// priority and by type of the pool it waits for. Without it a part with a long
+// queue would look as good to those who deal as one whose machines are just as
+// busy but whose queue is empty.
+func (c *Core) backlog(p *part) []Backlog {
+	pools := c.pools()
+	work := make([][priorities]float64, len(pools))
+	for _, s := range p.slices {
+		if s.job.standing == Pending && len(s.waiting) > 0 {
+			if typ := c.usualType(s.job); typ >= 0 {
+				work[poolOf(pools, typ)][min(s.job.spec.Priority, priorities-1)] +=
+					float64(s.waiting.count()) * s.job.spec.Need.Cores * c.estimate(s.job)
+			}
+		}
+	}
+	var out []Backlog
+	for i, types := range pools {
+		cores := c.capacity(p, types)
+		for t := range c.types {
+			if types&(1<<t) == 0 {
+				continue
+			}
+			for prio, w := range work[i] {
+				if w > 0 {
+					out = append(out, Backlog{c.types[t].Name, prio, w / max(cores, c.types[t].Total.Cores)})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// priorities is how many there are.
+const priorities = 4
+
+// queueFor is how long work of the priority given waits for each type of the
+// part's machines behind what is there already.
+func (c *Core) queueFor(p *part, priority int) []float64 {
+	out := make([]float64, len(c.types))
+	var queue []Backlog
+	if p.mine && p.loaded {
+		if p.queue == nil || c.now > p.queueAt+500*time.Millisecond {
+			p.queue, p.queueAt = c.backlog(p), c.now
+		}
+		queue = p.queue
+	} else if p.view != nil {
+		queue = p.view.Queue
+	}
+	for _, b := range queue {
+		if typ := c.typeIdx.known(b.Type); typ >= 0 && b.Priority <= priority {
+			out[typ] += b.Seconds
+		}
+	}
+	return out
+}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -436,7 +436,11 @@
 	return p.devices
 }
 
-// market is one imagined machine per zone, type and kind: what could be hired.
+// imagined is how many machines of a kind a job that is dealt counts on being
+// hired for it.
+const imagined = 12
+
+// market is imagined machines per zone, type and kind: what could be hired.
 func (c *Core) market(p *part) []device {
 	var out []device
 	for t := range c.types {
@@ -453,7 +457,7 @@
 				wait += 15 // nobody is known to look after that part now
 			}
 			total := typ.Total.plan()
-			for i := 0; i < 2; i++ {
+			for range imagined {
 				out = append(out, device{&plan.Device{Kind: c.kind(p.zone, t, spot), Total: total,
 					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1}, p.zone, nil})
 			}
@@ -484,6 +488,11 @@
 		j.image = c.imageOf(spec)
 	}
 	step := c.step(j)
+	plain, queues := step.Cost, make([]float64, len(c.parts)*len(c.types))
+	for z, p := range c.parts {
+		copy(queues[z*len(c.types):], c.queueFor(p, spec.Priority))
+	}
+	step.Cost = func(kind int) float64 { return plain(kind) + queues[kind/2] }
 	byZone := make([][]device, len(c.parts))
 	for z, p := range c.parts {
 		if spec.Zone != "" && p.name != spec.Zone || !c.zoneHolds(j, p) {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -420,6 +422,17 @@
 	}
 }
 
+// dirtyOrder lists the slices to record: the more urgent jobs first, so that
+// none waits behind others because of its name when changes are short.
+func (p *part) dirtyOrder() []string {
+	ids := sorted(p.dirty)
+	slices.SortStableFunc(ids, func(a, b string) int {
+		x, y := p.dirty[a].job, p.dirty[b].job
+		return cmp.Or(cmp.Compare(x.spec.Priority, y.spec.Priority), cmp.Compare(x.since, y.since))
+	})
+	return ids
+}
+
 // record gathers what must be made durable into one transaction: placements
 // just planned, ends just proven, grants that must grow first.
 func (c *Core) record(p *part) {
@@ -437,7 +450,7 @@
 		quotas: map[*quota]map[string]grant{}}
 	w.txn.Guards = []Guard{{p.key(), p.stamp}}
 	size := 0
-	for _, id := range sorted(p.dirty) {
+	for _, id := range p.dirtyOrder() {
 		s := p.dirty[id]
 		if len(w.txn.Apply)+3 > c.cfg.TxnOps || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
 			break
