Machines must show that they hear; parts load by comparing stamps; nothing is starved

The referee knows forgotten (75 s) and starved.

Found by the story of the outage in which all controllers crash: a part whose jobs' reads did not all get tokens was loaded from the start again, for ever.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 	sPerGB        map[int]float64
 	kinds         []classKinds // by class
 	tickAt        time.Duration
+	timers        []timer
 	share         Share
 	shareAt       time.Duration
 	wanted, wants Share // calls made since shareAt, and by the second of late
@@ -199,6 +200,7 @@
 	c.flushPolls()
 	if c.now >= c.tickAt {
 		c.tickAt = c.now + 100*time.Millisecond
+		c.ring()
 		c.keepLease()
 		c.follow(&c.partsView)
 		c.follow(&c.jobsView)
@@ -238,6 +240,28 @@
 	c.emit(Call{c.callSeq, op})
 }
 
+// timer is something to do later.
+type timer struct {
+	at time.Duration
+	f  func()
+}
+
+// after does f at the first tick after d.
+func (c *Core) after(d time.Duration, f func()) { c.timers = append(c.timers, timer{c.now + d, f}) }
+
+// ring does what is due.
+func (c *Core) ring() {
+	due := c.timers
+	c.timers = nil
+	for _, t := range due {
+		if c.now >= t.at {
+			t.f()
+		} else {
+			c.timers = append(c.timers, t)
+		}
+	}
+}
+
 // noteCalls logs what was asked of the outside lately.
 func (c *Core) noteCalls() {
 	if c.now < c.askedAt {
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -141,7 +141,7 @@
 func (c *Core) coming(p *part) map[int]float64 {
 	out := map[int]float64{}
 	for _, h := range p.hostList() {
-		if h.state == booting && h.typ >= 0 {
+		if (h.state == booting || h.joining(c.now)) && h.typ >= 0 {
 			out[c.kind(p.zone, h.typ, h.spot)]++
 		}
 	}
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -36,6 +36,9 @@
 	lastHeard    time.Duration
 	lastAnswer   time.Duration
 	expired      bool // its lease has run out for certain
+	unheard      int  // calls to it without an answer, each after a fresh report
+	unheardAt    time.Duration
+	mute         bool // its reports come, but what it is told does not arrive
 	recall       time.Duration
 	blockUntil   time.Duration
 	patience     time.Duration
@@ -94,11 +97,49 @@
 	leeway    float64
 }
 
-// usable says whether work may be started on the host: it is up, wanted, and
-// its last report is no older than the next one should be.
+// usable says whether work may be started on the host: it is up, wanted, its
+// last report is no older than the next one should be, and it has shown my
+// token. Only that proves that it hears me and that its report is no copy of
+// one sent long ago, by a machine that may be gone.
 func (h *host) usable(now time.Duration) bool {
-	return h.state == up && h.recall == 0 && !h.expired && !h.failed && now >= h.blockUntil &&
-		h.session > 0 && now < h.lastHeard+h.patience
+	return h.state == up && h.recall == 0 && !h.expired && !h.failed && !h.mute && now >= h.blockUntil &&
+		h.session > 0 && h.token >= h.part.tenure && now < h.lastHeard+h.patience
+}
+
+// joining says whether a machine is up and about to show that it hears me.
+func (h *host) joining(now time.Duration) bool {
+	return h.state == up && h.session > 0 && h.token < h.part.tenure && h.recall == 0 && !h.failed && !h.mute && now < h.since+5*time.Second
+}
+
+// misses is how many calls in a row may stay without an answer, though the
+// machine's reports come, before it is taken for mute.
+const misses = 3
+
+// answered notes whether a call to a worker was answered. Only calls after a
+// new report count: a machine that is cut off both ways is silent, not mute.
+func (c *Core) answered(p *part, h *host, ok bool) {
+	if ok {
+		h.unheard = 0
+		return
+	}
+	if h.lastHeard <= h.unheardAt {
+		return
+	}
+	h.unheardAt = c.now
+	if h.unheard++; h.unheard >= misses {
+		c.muted(p, h, "its reports come, calls to it stay without an answer")
+	}
+}
+
+// muted gives a machine up that reports but hears nothing. It gets no new work
+// and is returned; its tasks run elsewhere on the proofs that hold for any.
+func (c *Core) muted(p *part, h *host, why string) {
+	if h.mute {
+		return
+	}
+	h.mute = true
+	p.replan = true
+	c.note(1, "host is mute", "host", h.name, "part", p.name, "why", why)
 }
 
 func (c *Core) hostNamed(p *part, name string) *host {
@@ -301,7 +342,7 @@
 		return
 	}
 	h := c.hostNamed(p, rep.Host)
-	late := rep.Session < h.session || rep.Session == h.session && rep.Seq <= h.beatSeq
+	late := rep.Session < h.session || rep.Session == h.session && rep.Seq <= h.beatSeq || h.stale(rep)
 	c.absorb(p, h, rep, true)
 	if late || !p.mine || h.state == dead {
 		c.emit(BeatReply{Req: e.Req, Status: 503})
@@ -309,6 +350,7 @@
 	}
 	h.beatSeq = rep.Seq
 	h.lastHeard, h.lastAnswer, h.expired = c.now, c.now, false
+	c.greet(p, h)
 	c.emit(BeatReply{Req: e.Req, Status: 200, Token: p.token, Orders: c.ordersFor(p, h)})
 }
 
@@ -392,6 +434,10 @@
 	return !pending || o.attempt != r.Attempt
 }
 
+// stale says whether a report is certainly an old copy: the lease of its
+// session has run out, so a worker that lives has begun a new one.
+func (h *host) stale(rep *Report) bool { return h.expired && rep.Session <= h.session }
+
 // absorb takes in a worker's report, however it came.
 func (c *Core) absorb(p *part, h *host, rep *Report, own bool) {
 	for _, r := range rep.Tasks {
@@ -400,7 +446,7 @@
 			c.completed(p, h, r)
 		}
 	}
-	if rep.Session < h.session || rep.Session == h.session && rep.Seq <= h.seq {
+	if rep.Session < h.session || rep.Session == h.session && rep.Seq <= h.seq || h.stale(rep) {
 		return
 	}
 	if h.addr == "" || rep.Addr != "" {
@@ -430,6 +476,7 @@
 	}
 	if h.token >= p.tenure && h.acked == 0 {
 		h.acked = c.now
+		p.replan = true // it may be used from now on
 	}
 	if rep.Notice >= 0 && h.recall == 0 {
 		h.recall = max(c.now+duration(rep.Notice), 1)
@@ -483,6 +530,11 @@
 		return
 	}
 	c.note(1, "host has a new session", "host", h.name, "part", p.name, "session", session)
+	if h.acked > 0 && h.lastAnswer > 0 && c.now < h.lastAnswer+c.cfg.Lease {
+		// A report was answered within the lease, and yet it ran out: the
+		// answer did not arrive. That one was sent proves nothing.
+		c.muted(p, h, "its lease ran out though it was answered")
+	}
 	if p.loaded {
 		// What an earlier owner launched was launched before the worker knew my
 		// token. Only if it knew it in the session that ended was that before
@@ -709,6 +761,7 @@
 			return
 		}
 		res := r.(WorkerResult)
+		c.answered(p, h, res.Outcome == OK || res.Outcome == Refused)
 		for _, o := range orders {
 			if o.Verb != Launch || res.Outcome == Unknown {
 				continue
@@ -733,31 +786,43 @@
 	})
 }
 
-// greet makes a worker known to its new owner: its report first, then an
-// empty order with the new token, so that it drops what a stale owner says.
+// greet makes a worker known to its new owner: an empty order with the new
+// token, so that it drops what a stale owner says and shows that it hears me.
+// A worker that has not reported yet is asked for its session first.
 func (c *Core) greet(p *part, h *host) {
 	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning {
 		return
 	}
 	h.greeting, h.greetAt = true, c.now+2*time.Second
 	tenure, token := p.tenure, p.token
-	valid := func() bool { return p.mine && p.tenure == tenure }
-	c.call(ShowOp{h.addr}, func(r any) {
-		res := r.(WorkerResult)
-		if !valid() || res.Report == nil || res.Report.Host != h.name {
-			h.greeting = false
-			return
+	hear := func(r any) bool {
+		if !p.mine || p.tenure != tenure {
+			return false
 		}
-		c.absorb(p, h, res.Report, false)
-		if !valid() {
-			return
+		res := r.(WorkerResult)
+		heard := res.Report != nil && res.Report.Host == h.name
+		c.answered(p, h, heard)
+		if heard {
+			c.absorb(p, h, res.Report, false)
 		}
+		return heard && p.mine && p.tenure == tenure
+	}
+	order := func() {
 		c.call(OrdersOp{h.addr, token, h.session, nil}, func(r any) {
 			h.greeting = false
-			if res := r.(WorkerResult); valid() && res.Report != nil && res.Report.Host == h.name {
-				c.absorb(p, h, res.Report, false)
-			}
+			hear(r)
 		})
+	}
+	if h.session > 0 {
+		order()
+		return
+	}
+	c.call(ShowOp{h.addr}, func(r any) {
+		if hear(r) {
+			order()
+		} else {
+			h.greeting = false
+		}
 	})
 }
 
@@ -783,13 +848,13 @@
 		for _, h := range p.hostList() {
 			if h.state == up && !h.expired {
 				alive++
-				if c.now > h.lastHeard+c.cfg.Report*2 {
+				if c.now > h.lastHeard+c.cfg.Report*2 || h.mute {
 					silent++
 				}
 			}
 		}
-		// When most machines fall silent together, it is rather this
-		// controller that hears nothing.
+		// When most machines fall silent or mute together, it is rather this
+		// controller that is cut off.
 		deaf := silent >= 3 && silent*2 > alive
 		var back []*host
 		for _, h := range p.hostList() {
@@ -848,6 +913,9 @@
 		if h.failed && len(h.tasks) == 0 {
 			return "faulty"
 		}
+		if h.mute && !deaf {
+			return "mute"
+		}
 		limit := c.cfg.Knobs.SilentReturn
 		if deaf || c.now < p.loadedAt+c.cfg.Report*3 {
 			limit = c.cfg.Lease + 15*time.Second
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -40,8 +40,12 @@
 
 func (j *job) key() string { return "job/" + j.id }
 
+func (j *job) stored(standing string) *jobValue {
+	return &jobValue{j.spec, standing, j.split, j.moves}
+}
+
 func (j *job) value(standing string) []byte {
-	v, _ := json.Marshal(jobValue{j.spec, standing, j.split, j.moves})
+	v, _ := json.Marshal(j.stored(standing))
 	return v
 }
 
@@ -97,17 +101,78 @@
 
 // readSlice takes up a slice that the part should have.
 func (c *Core) readSlice(p *part, id string) {
-	c.read(sliceKey(p.name, id), true, func(res ReadResult) {
-		switch {
-		case !p.mine || !p.loaded:
-		case res.Outcome != OK:
-			p.loaded = false // the slices are listed again
-		case res.Found:
+	tenure := p.tenure
+	valid := func() bool { return p.mine && p.loaded && p.tenure == tenure }
+	c.readSurely(sliceKey(p.name, id), valid, func(res ReadResult) {
+		if res.Found {
 			c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
 		}
 	})
 }
 
+// readSurely reads a key, again and again until there is an answer, as long as
+// that is of use. A call refused for want of tokens must not have anything
+// bigger repeated: after a crash of all controllers that never came to an end.
+func (c *Core) readSurely(key string, valid func() bool, then func(ReadResult)) {
+	c.read(key, true, func(res ReadResult) {
+		switch {
+		case !valid():
+		case res.Outcome == OK:
+			then(res)
+		default:
+			c.after(300*time.Millisecond, func() {
+				if valid() {
+					c.readSurely(key, valid, then)
+				}
+			})
+		}
+	})
+}
+
+// compareJobs finds out which jobs still have the stamps given, as many with
+// one request as a transaction may compare.
+func (c *Core) compareJobs(ids []string, stamps map[string]uint64, valid func() bool, same, differs func(id string)) {
+	if len(ids) == 0 || !valid() {
+		return
+	}
+	n := min(len(ids), 4*c.cfg.TxnOps)
+	var t Txn
+	for _, id := range ids[:n] {
+		t.Guards = append(t.Guards, Guard{"job/" + id, stamps[id]})
+	}
+	c.commit(t, true, func(res CommitResult) {
+		if !valid() {
+			return
+		}
+		var left []string
+		switch res.Outcome {
+		case OK:
+			for _, id := range ids[:n] {
+				same(id)
+			}
+		case Refused:
+			// Those named differ; the others are compared again without them.
+			for _, id := range ids[:n] {
+				if contains(res.Failed, "job/"+id) {
+					differs(id)
+				} else {
+					left = append(left, id)
+				}
+			}
+			if len(left) == n {
+				for _, id := range left {
+					differs(id)
+				}
+				left = nil
+			}
+		default:
+			c.after(300*time.Millisecond, func() { c.compareJobs(ids, stamps, valid, same, differs) })
+			return
+		}
+		c.compareJobs(append(left, ids[n:]...), stamps, valid, same, differs)
+	})
+}
+
 func (c *Core) newJob(id string, spec Spec, stamp uint64) *job {
 	spec.ID = id
 	j := &job{id: id, spec: spec, born: stamp, since: c.now, image: -1, team: c.teams.known(spec.Team), class: c.classes.of(spec.Class)}
@@ -147,16 +212,21 @@
 	}
 }
 
-// rereadLive reads every unfinished job it has work of again, after changes
-// may have been missed.
+// rereadLive looks at every unfinished job again, after changes may have been
+// missed.
 func (c *Core) rereadLive() {
-	for _, id := range sorted(c.jobs) {
-		c.read("job/"+id, true, func(res ReadResult) {
-			if res.Outcome == OK && res.Found {
+	ids, stamps := sorted(c.jobs), map[string]uint64{}
+	for _, id := range ids {
+		stamps[id] = c.jobs[id].stamp
+	}
+	always := func() bool { return true }
+	c.compareJobs(ids, stamps, always, func(string) {}, func(id string) {
+		c.readSurely("job/"+id, always, func(res ReadResult) {
+			if res.Found {
 				c.learnJob(id, res.Item.Value, res.Item.Stamp)
 			}
 		})
-	}
+	})
 }
 
 // allowedOn says whether a machine of the kind may run the job's tasks.
@@ -338,15 +408,16 @@
 			}
 			j := job{id: b.spec.ID, spec: b.spec, split: b.split}
 			value := j.value("")
-			if len(group) > 0 && size+3*len(value) > 48<<10 {
+			bytes := (1 + len(b.split)) * (len(value) + 200)
+			if len(group) > 0 && size+bytes > 48<<10 {
 				break
 			}
-			size += 3 * len(value)
+			size += bytes
 			t.Guards = append(t.Guards, Guard{j.key(), 0})
 			t.Apply = append(t.Apply, Set{Key: j.key(), Value: value})
 			for _, zone := range c.zones.list {
 				if r, ok := b.split[zone]; ok {
-					sv, _ := json.Marshal(sliceValue{Waiting: r})
+					sv, _ := json.Marshal(sliceValue{Waiting: r, Job: j.stored("")})
 					t.Apply = append(t.Apply, Set{Key: sliceKey(zone, b.spec.ID), Value: sv})
 				}
 			}
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -94,13 +94,16 @@
 			v.Waiting.add(i)
 		}
 		v.Next = max(v.Next, s.next) // an attempt is never given out twice
-		theirs, _ := json.Marshal(v)
 		moved := *j
 		moved.split, moved.moves = split, j.moves+1
 		empty := s.complete() && len(s.done) == 0
-		mineValue := s.value()
 		if empty {
 			delete(split, p.name)
+		}
+		v.Job, v.Stamp = moved.stored(""), 0
+		theirs, _ := json.Marshal(v)
+		mineValue := s.valueWith(&moved, 0)
+		if empty {
 			mineValue = nil
 		}
 		value := moved.value("")
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -389,22 +389,31 @@
 	}
 }
 
-// load reads the part's slices and their jobs.
+// load reads the part's slices and learns their jobs. A slice holds the job as
+// it was when it was written; whether that still stands is compared for many
+// jobs at once, and only those that have changed are read.
 func (c *Core) load(p *part) {
 	p.loading = true
-	token := p.token
-	valid := func() bool { return p.mine && p.token == token }
+	tenure := p.tenure
+	valid := func() bool { return p.mine && p.tenure == tenure }
 	c.call(ListOp{"slice/" + p.name + "/"}, func(r any) {
 		if !valid() {
 			return
 		}
 		res := r.(ListResult)
 		if res.Outcome != OK {
-			p.loading = false
+			c.after(300*time.Millisecond, func() {
+				if valid() {
+					p.loading = false
+				}
+			})
 			return
 		}
 		left := len(res.Items)
-		finish := func() {
+		done := func() {
+			if left--; left > 0 {
+				return
+			}
 			p.loading, p.loaded, p.replan, p.loadedAt = false, true, true, c.now
 			// Jobs that came after the listing, and were heard of before this.
 			for _, id := range sorted(c.jobs) {
@@ -414,45 +423,61 @@
 			}
 			c.note(1, "part loaded", "part", p.name, "token", p.token, "slices", len(p.slices))
 		}
-		if left == 0 {
-			finish()
-			return
-		}
-		failed := false
-		done := func() {
-			if left--; left > 0 || !valid() {
-				return
+		items, stamps := map[string]Item{}, map[string]uint64{}
+		jobs := map[string][]byte{}
+		var told, unknown []string
+		for _, it := range res.Items {
+			id := it.Key[strings.LastIndexByte(it.Key, '/')+1:]
+			items[id] = it
+			var v sliceValue
+			if json.Unmarshal(it.Value, &v) != nil || v.Job == nil {
+				unknown = append(unknown, id)
+				continue
 			}
-			if failed {
-				p.loading = false // tried again; what was adopted stays
-				return
+			stamps[id] = v.Stamp
+			if v.Stamp == 0 {
+				stamps[id] = it.Stamp
 			}
-			finish()
+			jobs[id], _ = json.Marshal(v.Job)
+			told = append(told, id)
 		}
-		for _, it := range res.Items {
-			id := it.Key[strings.LastIndexByte(it.Key, '/')+1:]
-			c.read("job/"+id, true, func(jr ReadResult) {
-				if valid() {
-					if jr.Outcome != OK || !jr.Found {
-						failed = true
-					} else {
-						if j := c.learnJob(id, jr.Item.Value, jr.Item.Stamp); j != nil {
-							c.adoptSliceOf(p, j, it.Value, it.Stamp)
-						} else if s, over := c.final[id]; over {
-							var v jobValue
-							_ = json.Unmarshal(jr.Item.Value, &v) // at worst the job has no team
-							j := c.newJob(id, v.Spec, jr.Item.Stamp)
-							j.standing = s
-							c.adoptSliceOf(p, j, it.Value, it.Stamp)
-						}
-					}
+		read := func(id string) {
+			c.readSurely("job/"+id, valid, func(jr ReadResult) {
+				if jr.Found {
+					c.adoptLoaded(p, id, jr.Item.Value, jr.Item.Stamp, items[id])
 				}
 				done()
 			})
 		}
+		if len(res.Items) == 0 {
+			left = 1
+			done()
+			return
+		}
+		for _, id := range unknown {
+			read(id)
+		}
+		c.compareJobs(told, stamps, valid, func(id string) {
+			c.adoptLoaded(p, id, jobs[id], stamps[id], items[id])
+			done()
+		}, read)
 	})
 }
 
+// adoptLoaded takes up a slice together with its job as they were found when
+// the part was loaded.
+func (c *Core) adoptLoaded(p *part, id string, value []byte, stamp uint64, it Item) {
+	if j := c.learnJob(id, value, stamp); j != nil {
+		c.adoptSliceOf(p, j, it.Value, it.Stamp)
+	} else if s, over := c.final[id]; over {
+		var v jobValue
+		_ = json.Unmarshal(value, &v) // at worst the job has no team
+		j := c.newJob(id, v.Spec, stamp)
+		j.standing = s
+		c.adoptSliceOf(p, j, it.Value, it.Stamp)
+	}
+}
+
 // maybeYield hands a part to its home controller once that one is steadily
 // back. The old owner stops first, then drops the key.
 func (c *Core) maybeYield(p *part) {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -184,6 +184,8 @@
 		Images: make([]plan.Held, 0, len(h.images)+len(h.fetching)+1), Uses: make([]plan.Use, 0, len(h.tasks)+4)}
 	if h.state == booting {
 		d.Up = max(seconds(h.eta), now+1)
+	} else if h.joining(c.now) {
+		d.Up = now + 0.5
 	}
 	for img, at := range h.fetching {
 		d.Images = append(d.Images, plan.Held{Image: img, At: max(seconds(at), now+0.2)})
@@ -202,9 +204,14 @@
 	return device{d, h.part.zone, h}
 }
 
+// overdue is how long a job may wait for its first task before it goes ahead of
+// all others: whatever the order, nothing is starved by a stream of more urgent
+// or smaller work.
+const overdue = 100 * time.Second
+
 // ready lists the slices with waiting tasks in the order they are served:
-// by priority, teams within their guarantee first, then by the time left to
-// their aim or deadline.
+// those that wait far too long first, then by priority, teams within their
+// guarantee first, then by the time left to their aim or deadline.
 func (c *Core) ready(p *part) []*slice {
 	var list []*slice
 	for _, s := range p.slices {
@@ -218,11 +225,18 @@
 		within[t] = used.Cores < g.Cores || used.Cards < g.Cards
 	}
 	by := make(map[*slice]float64, len(list))
+	late := make(map[*slice]bool)
 	for _, s := range list {
 		by[s] = c.startBy(s.job)
+		if len(s.tasks)+len(s.done) == 0 && c.now > s.job.since+overdue {
+			late[s] = true
+		}
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a].job, list[b].job
+		if lx, ly := late[list[a]], late[list[b]]; lx != ly {
+			return lx
+		}
 		if wx, wy := within[x.team], within[y.team]; x.spec.Priority == y.spec.Priority && wx != wy {
 			return wx
 		}
@@ -295,7 +309,7 @@
 	var all []device
 	var devices []*plan.Device
 	for _, h := range p.hostList() {
-		if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+		if h.typ >= 0 && (h.usable(c.now) || h.state == booting || h.joining(c.now)) {
 			d := c.hostDevice(h)
 			all, devices = append(all, d), append(devices, d.Device)
 		}
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -35,6 +35,11 @@
 	Done    ranges   `json:"d,omitempty"`
 	Placed  []placed `json:"p,omitempty"`
 	Next    uint64   `json:"n,omitempty"`
+	// The job as it was when the slice was written, and its stamp; without one,
+	// both keys were written by the same transaction. A new owner then only has
+	// to compare stamps, many at a time, where it would have to read every job.
+	Job   *jobValue `json:"j,omitempty"`
+	Stamp uint64    `json:"k,omitempty"`
 }
 
 type placed struct {
@@ -57,8 +62,10 @@
 	return n
 }
 
-func (s *slice) value() []byte {
-	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next}
+func (s *slice) value() []byte { return s.valueWith(s.job, s.job.stamp) }
+
+func (s *slice) valueWith(j *job, stamp uint64) []byte {
+	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next, Job: j.stored(""), Stamp: stamp}
 	for _, i := range sorted(s.tasks) {
 		t := s.tasks[i]
 		v.Placed = append(v.Placed, placed{i, t.host.name, t.attempt})
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -158,6 +158,8 @@
 		return "recalled"
 	case h.failed:
 		return "faulty"
+	case h.mute:
+		return "mute"
 	case !h.usable(now):
 		return "silent"
 	}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"roadcleat/internal/core"
@@ -17,6 +18,9 @@
 	Cancelled time.Duration // when the user was told, 0: not
 	AskedStop bool
 	DoneAt    time.Duration // when its last task completed
+	Came      time.Duration // when it was first submitted
+	Began     time.Duration // when its first task started, 0: not yet
+	Answered  time.Duration // when a question about it was last answered
 	ToldDone  time.Duration
 }
 
@@ -47,6 +51,9 @@
 func (r *Referee) on(id core.TaskID, k *Worker) {
 	r.Starts++
 	job := r.w.Jobs[id.Job]
+	if job.Began == 0 {
+		job.Began = r.w.Now
+	}
 	if len(r.where[id]) > 0 && !r.where[id][k] {
 		r.broken("ran_twice", "%v starts on %s", id, k.name)
 	}
@@ -118,7 +125,72 @@
 	}
 }
 
+// forgetAfter is how long a job may go without an answered question once all
+// troubles are over.
+const forgetAfter = 75 * time.Second
+
+// beginWithin is how soon the largest jobs of a class must begin.
+const beginWithin = 4 * time.Minute
+
+// Served checks at the end of a day that no class, team or class's largest jobs
+// were starved. A quarter of a class's jobs are its largest.
+func (r *Referee) Served() {
+	groups := map[string][]*Job{}
+	byClass := map[string][]*Job{}
+	for _, id := range sortedJobs(r.w.Jobs) {
+		j := r.w.Jobs[id]
+		if !j.Accepted || j.AskedStop || j.Spec.Service {
+			continue
+		}
+		groups["class "+j.Spec.Class] = append(groups["class "+j.Spec.Class], j)
+		groups["team "+j.Spec.Team] = append(groups["team "+j.Spec.Team], j)
+		byClass[j.Spec.Class] = append(byClass[j.Spec.Class], j)
+	}
+	for class, jobs := range byClass {
+		sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].Spec.Tasks > jobs[b].Spec.Tasks })
+		large := jobs[:(len(jobs)+3)/4]
+		groups["largest of class "+class] = large
+		for _, j := range large {
+			if j.Began == 0 && r.w.Now > j.Came+beginWithin || j.Began > j.Came+beginWithin {
+				r.broken("starved", "%s, one of the largest of %s, began after %v", j.Spec.ID, class, j.Began-j.Came)
+			}
+		}
+	}
+	var names []string
+	for name := range groups {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		served := 0
+		for _, j := range groups[name] {
+			if j.Told == core.Complete {
+				served++
+			}
+		}
+		if 2*served < len(groups[name]) {
+			r.broken("starved", "%s: %d of %d jobs served", name, served, len(groups[name]))
+		}
+	}
+}
+
+func sortedJobs(jobs map[string]*Job) []string {
+	var ids []string
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 func (r *Referee) overdue() {
+	for _, id := range sortedJobs(r.w.Jobs) {
+		job := r.w.Jobs[id]
+		if job.Accepted && !job.Over() && r.w.Now > max(r.w.Calm, job.Answered)+forgetAfter {
+			r.broken("forgotten", "no question about %s is answered", id)
+			job.Answered = r.w.Now
+		}
+	}
 	for id := range r.where {
 		job := r.w.Jobs[id.Job]
 		if job.Cancelled > 0 && r.w.Now > job.Cancelled+r.w.Cfg.Cancel {
@@ -160,7 +232,7 @@
 	case status != 200 && status != 201:
 		return
 	}
-	job.Accepted = true
+	job.Accepted, job.Answered = true, r.w.Now
 	over := before.told == core.Complete || before.told == core.Withdrawn
 	if over && s != before.told || s == core.Withdrawn && !job.AskedStop {
 		r.broken("went_back", "%s was %d and is called %d", id, job.Told, s)
@@ -198,7 +270,7 @@
 // Submit has a user submit a job, again and again until it is taken, and poll
 // it until it is over.
 func (w *World) Submit(spec core.Spec, run time.Duration) *Job {
-	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}}
+	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}, Came: w.Now}
 	w.Jobs[spec.ID] = job
 	var try func()
 	try = func() {
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -39,7 +39,22 @@
 		return w.Workers[alive[r.IntN(len(alive))]]
 	}
 	hold := r.IntN(2) == 0
-	switch r.IntN(15) {
+	switch r.IntN(20) {
+	case 15: // a machine hears nobody, but is heard
+		if k := worker(); k != nil {
+			w.Mute(k, sec(2, 90))
+		}
+	case 16: // a controller loses the state service and the others, not its workers
+		w.Alone(node, sec(2, 60), hold)
+	case 17, 18: // a process is back within a fraction of a second
+		node.Restart(time.Duration(r.IntN(100)) * time.Millisecond)
+	case 19: // a machine is heard by nobody, but hears
+		if k := worker(); k != nil {
+			d := sec(2, 60)
+			for _, n := range w.Nodes {
+				w.CutOneWay(k.name, n.Name, d)
+			}
+		}
 	case 0, 1:
 		node.Restart(sec(0, 8))
 	case 2:
@@ -109,6 +124,20 @@
 		}
 		return true, time.Duration(r.IntN(8000)) * time.Millisecond
 	}
+	if seed%2 == 0 { // late copies of reports, and requests carried out again
+		w.Copies = func(*Worker) []time.Duration {
+			if w.Now > 4*time.Minute || r.IntN(10) > 0 {
+				return nil
+			}
+			return []time.Duration{time.Duration(1+r.IntN(40)) * time.Second}
+		}
+		w.Again = func(string, any) time.Duration {
+			if w.Now > 4*time.Minute || r.IntN(20) > 0 {
+				return 0
+			}
+			return time.Duration(1+r.IntN(20000)) * time.Millisecond
+		}
+	}
 	w.Cloud.LateHire = func(core.HireOp) time.Duration {
 		if w.Now > 4*time.Minute || r.IntN(15) > 0 {
 			return 0
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -19,6 +19,10 @@
 	nextID  uint64
 	waits   []*watch
 
+	// RPS, if set, is how many requests a second it takes from all controllers;
+	// each keeps to its share, as the real client does.
+	RPS float64
+
 	down    time.Duration            // refuses everybody until then
 	refused map[string]time.Duration // refuses one controller until then
 	// Lose, if set, is asked for each transaction: its reply may be lost, and
@@ -59,6 +63,7 @@
 // Outage refuses everybody for a while; then every lease has its full time.
 func (s *Store) Outage(d time.Duration) {
 	s.w.Log("%v state outage for %v", s.w.Now, d)
+	s.w.trouble(d)
 	s.down = max(s.down, s.w.Now+d)
 	s.w.After(s.down-s.w.Now, func() {
 		for _, l := range s.leases {
@@ -70,6 +75,7 @@
 // Refuse refuses one controller for a while.
 func (s *Store) Refuse(node string, d time.Duration) {
 	s.w.Log("%v state refuses %s for %v", s.w.Now, node, d)
+	s.w.trouble(d)
 	s.refused[node] = s.w.Now + d
 }
 
@@ -273,7 +279,10 @@
 func roomKey(typ, zone string, spot bool) string { return fmt.Sprint(typ, "/", zone, "/", spot) }
 
 // Outage refuses all calls for a while.
-func (c *Cloud) Outage(d time.Duration) { c.down = c.w.Now + d }
+func (c *Cloud) Outage(d time.Duration) {
+	c.w.trouble(d)
+	c.down = c.w.Now + d
+}
 
 func (c *Cloud) away() bool { return c.w.Now < c.down }
 
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -133,6 +133,15 @@
 	}
 	k.flying, k.dirty, k.lastSent = true, false, k.w.Now
 	rep, sent, session, node := k.report(), k.w.Now, k.session, k.w.Nodes[k.node]
+	if k.w.Copies != nil {
+		for _, late := range k.w.Copies(k) {
+			k.w.After(late, func() {
+				if node.up {
+					node.ask(func(req uint64) any { return core.Beat{Req: req, Report: rep} }, func(any) {})
+				}
+			})
+		}
+	}
 	k.w.rpc(k.name, node.Name, 4*time.Second, nil, func(answer func(any)) {
 		if !node.up {
 			answer(core.BeatReply{Status: 0})
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -25,6 +25,14 @@
 	Cfg     core.Config // what all controllers share
 	Log     func(format string, args ...any)
 
+	// Copies, if set, says after which times copies of a report arrive once more.
+	Copies func(k *Worker) []time.Duration
+	// Again, if set, says after how long a request is carried out a second time,
+	// 0 for not at all. Orders come again only from a process that has ended.
+	Again func(node string, op any) time.Duration
+	// Calm is when the last trouble is over; the referee asks more from then on.
+	Calm time.Duration
+
 	queue eventQueue
 	seq   int
 	cuts  map[[2]string]*cut
@@ -121,11 +129,41 @@
 // Cut interrupts the network between two hosts, both ways. With hold, packets
 // are delivered when it ends; otherwise they are lost.
 func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	w.trouble(d)
 	c := &cut{hold, w.Now + d}
 	w.cuts[[2]string{a, b}], w.cuts[[2]string{b, a}] = c, c
 	w.Log("%v cut %s-%s for %v hold=%v", w.Now, a, b, d, hold)
 }
 
+// trouble notes that something is wrong for a while.
+func (w *World) trouble(d time.Duration) { w.Calm = max(w.Calm, w.Now+d) }
+
+// CutOneWay loses what one host sends to another; the way back stays open.
+func (w *World) CutOneWay(from, to string, d time.Duration) {
+	w.trouble(d)
+	w.cuts[[2]string{from, to}] = &cut{false, w.Now + d}
+	w.Log("%v cut %s->%s for %v", w.Now, from, to, d)
+}
+
+// Mute lets a machine's reports arrive while nothing that any controller says
+// reaches it.
+func (w *World) Mute(k *Worker, d time.Duration) {
+	for _, n := range w.Nodes {
+		w.CutOneWay(n.Name, k.name, d)
+	}
+}
+
+// Alone cuts a controller from the state service and the other controllers, but
+// not from its workers.
+func (w *World) Alone(n *Node, d time.Duration, hold bool) {
+	w.Cut(n.Name, "state", d, hold)
+	for _, o := range w.Nodes {
+		if o != n {
+			w.Cut(n.Name, o.Name, d, hold)
+		}
+	}
+}
+
 func (w *World) latency() time.Duration {
 	return time.Duration(500+w.Rng.IntN(2500)) * time.Microsecond
 }
@@ -173,6 +211,9 @@
 	up   bool
 	reqs uint64
 	wait map[uint64]func(any)
+
+	share    core.Share
+	nextCall time.Duration
 }
 
 // Start starts the process.
@@ -209,6 +250,7 @@
 
 // Restart kills the process and starts it again after a while.
 func (n *Node) Restart(after time.Duration) {
+	n.w.trouble(after)
 	n.Crash()
 	n.w.After(after, n.Start)
 }
@@ -238,6 +280,8 @@
 			n.answer(e.Req, e)
 		case core.Tell:
 			n.tell(e)
+		case core.Share:
+			n.share = e
 		case core.Note:
 			n.w.Log("%v %s %s %v", n.w.Now, n.Name, e.Text, e.Args)
 		}
@@ -290,8 +334,13 @@
 	}
 	const wait = 2 * time.Second
 	w := n.w
+	if w.Again != nil {
+		if late := w.Again(n.Name, c.Op); late > 0 {
+			w.After(late, func() { n.repeat(c.Op, life) })
+		}
+	}
 	store := func(timeout time.Duration, unknown any, exec func(func(any))) {
-		w.rpc(n.Name, "state", timeout, unknown, exec, done)
+		n.admit(func() { w.rpc(n.Name, "state", timeout, unknown, exec, done) }, func() { done(notSent(unknown)) })
 	}
 	switch op := c.Op.(type) {
 	case core.CommitOp:
@@ -330,6 +379,59 @@
 	}
 }
 
+// admit lets a call to the state service go when this controller's share of
+// its budget allows, or refuses it when that would take over a second.
+func (n *Node) admit(send, refuse func()) {
+	w := n.w
+	if w.Store.RPS == 0 {
+		send()
+		return
+	}
+	n.nextCall = max(n.nextCall, w.Now)
+	if n.nextCall > w.Now+time.Second {
+		w.After(time.Millisecond, refuse)
+		return
+	}
+	w.After(n.nextCall-w.Now, send)
+	n.nextCall += time.Duration(float64(time.Second) / (0.93 * w.Store.RPS * max(n.share.Requests, 0.01)))
+}
+
+// notSent is the result of a call that was not made, of the same type as the
+// one given.
+func notSent(res any) any {
+	switch res.(type) {
+	case core.CommitResult:
+		return core.CommitResult{Outcome: core.NotSent}
+	case core.ReadResult:
+		return core.ReadResult{Outcome: core.NotSent}
+	case core.ListResult:
+		return core.ListResult{Outcome: core.NotSent}
+	case core.FollowResult:
+		return core.FollowResult{Outcome: core.NotSent}
+	case core.HoldResult:
+		return core.HoldResult{Outcome: core.NotSent}
+	}
+	return core.RenewResult{Outcome: core.NotSent}
+}
+
+// repeat has a request that was carried out arrive once more; nobody hears the
+// answer.
+func (n *Node) repeat(op any, life int) {
+	unheard := func(any) {}
+	switch op := op.(type) {
+	case core.CommitOp:
+		n.w.Store.commit(n.Name, op.Txn, unheard)
+	case core.HireOp:
+		n.w.Cloud.hire(op, unheard)
+	case core.ReturnOp:
+		n.w.Cloud.giveBack(op.Hosts, unheard)
+	case core.OrdersOp:
+		if n.life != life {
+			n.w.reach(op.Addr, func(k *Worker) { k.direct(op, unheard) })
+		}
+	}
+}
+
 // hostOf is the host behind a worker's address; here they have one name.
 func hostOf(addr string) string { return addr }
 
