Grants follow rank over parts; spare by the root of demand; types kept in the store

Parts now say how the work ranks for which they ask, and others leave room to what ranks higher.

Ordinary machines are hired for what still waits when they are up; the spare grows with the root of demand. Controllers that start while the cloud is away take the machine types from the store. Records leave changes to submissions.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -63,6 +65,9 @@
 	typeIdx                       names
 	catalogAt, catalogAsked       time.Duration
 	catalogBusy                   bool
+	typesBusy                     bool
+	typesStamp                    uint64
+	typesKept                     string // the types the store holds, without their prices
 
 	parts []*part // by zone
 	peers []*peer // as in the settings
@@ -152,7 +157,7 @@
 	}
 	for _, t := range cfg.Teams {
 		c.teams.of(t.Name)
-		c.quotas = append(c.quotas, &quota{team: t.Name})
+		c.quotas = append(c.quotas, &quota{team: t.Name, asks: map[int]heardAsk{}})
 		c.limits = append(c.limits, t)
 	}
 	for _, p := range cfg.Peers {
@@ -310,7 +315,7 @@
 	if len(c.parts) > 0 {
 		parts = float64(owned) / float64(len(c.parts))
 	}
-	s := Share{Requests: 0.4*all + 0.6*mine.Requests/sum.Requests, Changes: 0.4*all + 0.6*mine.Changes/sum.Changes,
+	s := Share{Requests: 0.3*all + 0.7*mine.Requests/sum.Requests, Changes: 0.25*all + 0.75*mine.Changes/sum.Changes,
 		Calls: 0.2*all + 0.8*parts}
 	if s != c.share {
 		c.share = s
@@ -337,8 +342,12 @@
 }
 
 func (c *Core) commit(t Txn, urgent bool, then func(CommitResult)) {
+	c.commitOp(CommitOp{Txn: t, Urgent: urgent}, then)
+}
+
+func (c *Core) commitOp(op CommitOp, then func(CommitResult)) {
 	sent := c.now
-	c.call(CommitOp{t, urgent}, func(r any) {
+	c.call(op, func(r any) {
 		res := r.(CommitResult)
 		c.store(sent, res.Outcome == OK || res.Outcome == Refused)
 		then(res)
@@ -371,18 +380,85 @@
 		if res.Outcome != OK || len(res.Types) == 0 {
 			return
 		}
-		for _, t := range res.Types {
-			i := c.typeIdx.of(t.Name)
-			for len(c.types) <= i {
-				c.types = append(c.types, MachineType{})
-			}
-			c.types[i] = t
-			for _, z := range t.Zones {
-				c.zone(z)
-			}
-		}
+		c.learnTypes(res.Types)
 		c.catalogAt = c.now
+		c.storeTypes()
 	})
+	if len(c.types) == 0 && !c.typesBusy {
+		c.readTypes()
+	}
+}
+
+func (c *Core) learnTypes(types []MachineType) {
+	for _, t := range types {
+		i := c.typeIdx.of(t.Name)
+		for len(c.types) <= i {
+			c.types = append(c.types, MachineType{})
+		}
+		c.types[i] = t
+		for _, z := range t.Zones {
+			c.zone(z)
+		}
+	}
+}
+
+// typesKey holds the machine types as the cloud last told them. A controller
+// that starts while the cloud is out of reach would otherwise know of none and
+// could take no request until the cloud is back.
+const typesKey = "types"
+
+func (c *Core) readTypes() {
+	c.typesBusy = true
+	c.read(typesKey, true, func(res ReadResult) {
+		c.typesBusy = false
+		if res.Outcome != OK {
+			return
+		}
+		var types []MachineType
+		if c.typesStamp = res.Item.Stamp; res.Found && json.Unmarshal(res.Item.Value, &types) == nil && len(c.types) == 0 {
+			c.learnTypes(types)
+			c.typesKept = plainTypes(types)
+		}
+	})
+}
+
+// storeTypes writes the types down when they are others than those kept there.
+// Prices change all the time and do not count.
+func (c *Core) storeTypes() {
+	plain := plainTypes(c.types)
+	if c.typesBusy || c.typesKept == plain || !c.storeWell() {
+		return
+	}
+	c.typesBusy = true
+	value, _ := json.Marshal(c.types)
+	t := Txn{Guards: []Guard{{typesKey, c.typesStamp}}, Apply: []Set{{Key: typesKey, Value: value}}}
+	c.commit(t, false, func(res CommitResult) {
+		c.typesBusy = false
+		switch res.Outcome {
+		case OK:
+			c.typesStamp, c.typesKept = res.Revision, plain
+		case Refused, Unknown:
+			c.typesBusy = true
+			c.read(typesKey, false, func(r ReadResult) {
+				c.typesBusy = false
+				var types []MachineType
+				if r.Outcome == OK && json.Unmarshal(r.Item.Value, &types) == nil {
+					c.typesStamp, c.typesKept = r.Item.Stamp, plainTypes(types)
+				}
+			})
+		}
+	})
+}
+
+// plainTypes is what of machine types counts when they are compared.
+func plainTypes(types []MachineType) string {
+	plain := slices.Clone(types)
+	for i := range plain {
+		plain[i].Price, plain[i].SpotPrice = 0, 0
+	}
+	slices.SortFunc(plain, func(a, b MachineType) int { return strings.Compare(a.Name, b.Name) })
+	b, _ := json.Marshal(plain)
+	return string(b)
 }
 
 // kind is the dense index of a machine's zone, type and kind.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -134,10 +134,11 @@
 // Calls to the outside. Each is answered by exactly one Answer whose Result
 // is the matching type below.
 type (
-	// CommitOp commits a transaction. Urgent calls go ahead of the others.
+	// CommitOp commits a transaction. Urgent calls go ahead of the others; one
+	// that spares leaves some of the budget to users' submissions.
 	CommitOp struct {
-		Txn    Txn
-		Urgent bool
+		Txn           Txn
+		Urgent, Spare bool
 	}
 	// ReadOp reads a key.
 	ReadOp struct {
@@ -369,8 +370,16 @@
 	Jobs   []Item // job/ keys as just read or written
 	Slices []Item // slice/ keys as just written
 	Freed  []string
-	Grants []string // teams whose idle grants the sender needs
-	Quotas []Item   // quota/ keys as just written
+	Asks   []GrantAsk // of teams whose grants the sender needs
+	Quotas []Item     // quota/ keys as just written
+}
+
+// GrantAsk asks for room within a team's limit for work that waits, and says how
+// it ranks.
+type GrantAsk struct {
+	Team  string
+	Cores float64
+	Rank  float64
 }
 
 // Gossip is what a controller tells the others twice a second.
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -81,7 +81,7 @@
 				mean += s.cores[i] / float64(len(p.demand))
 			}
 		}
-		target := peak + mean*c.cfg.Knobs.SpareShare
+		target := peak + mean*c.cfg.Knobs.SpareShare*min(1, math.Sqrt(chanceCores/max(mean, 1)))
 		if capacity := c.capacity(p, types); may && capacity < target && mean > 0 {
 			c.hireRoom(p, types, target-capacity)
 		}
@@ -89,6 +89,11 @@
 	}
 }
 
+// chanceCores is the demand up to which the whole spare share is kept. What comes
+// by chance grows with the root of the demand only, so a larger fleet needs
+// less in proportion.
+const chanceCores = 200.0
+
 // pools groups the machine types that the same classes of jobs can use. Room
 // on one type of a pool is as good as on another; room on another pool's may be
 // none at all to the work that waits.
@@ -248,6 +253,16 @@
 		if k == 0 || !c.allowedOn(n.job, kind) {
 			continue
 		}
+		boot := duration(c.types[typ].BootS)
+		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot {
+			// Dear machines only for what still waits when they are up. What has
+			// waited as long as that already is not put off by a reckoning: the
+			// queue counts machines that this very job may not be able to use.
+			queue := c.queueFor(p, n.job.spec.Priority)[typ]
+			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
+				return
+			}
+		}
 		want := short / float64(k)
 		count := min(int(math.Ceil(want-0.01)), 50)
 		if c.hire(p, o, count) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -63,8 +63,9 @@
 			c.learnQuota(c.quotas[t], true, it.Value, it.Stamp)
 		}
 	}
-	for _, team := range m.Grants {
-		if t := c.teams.known(team); t >= 0 {
+	for _, ask := range m.Asks {
+		if t := c.teams.known(ask.Team); t >= 0 {
+			c.quotas[t].asks[from] = heardAsk{ask, c.now}
 			for _, q := range c.parts {
 				if q.mine && q.loaded {
 					c.giveBack(q, t, true)
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -209,6 +209,10 @@
 // or smaller work.
 const overdue = 100 * time.Second
 
+func (c *Core) overdue(s *slice) bool {
+	return len(s.tasks)+len(s.done) == 0 && c.now > s.job.since+overdue
+}
+
 // ready lists the slices with waiting tasks in the order they are served:
 // those that wait far too long first, then by priority, teams within their
 // guarantee first, then by the time left to their aim or deadline.
@@ -228,9 +232,7 @@
 	late := make(map[*slice]bool)
 	for _, s := range list {
 		by[s] = c.startBy(s.job)
-		if len(s.tasks)+len(s.done) == 0 && c.now > s.job.since+overdue {
-			late[s] = true
-		}
+		late[s] = c.overdue(s)
 	}
 	sort.Slice(list, func(a, b int) bool {
 		x, y := list[a].job, list[b].job
@@ -318,9 +320,9 @@
 	looks, tasks := len(devices), 0
 	for _, s := range ready {
 		j := s.job
-		waiting, quota := s.waiting.count(), c.room(p, j.team, j.spec.Need)
-		if quota < waiting && c.quotas[j.team].known {
-			c.wantGrants(j.team)
+		waiting, quota := s.waiting.count(), c.roomFor(p, s)
+		if c.room(p, j.team, j.spec.Need) < waiting && c.quotas[j.team].known {
+			c.wantGrants(s)
 		}
 		// Placed tasks are listed one by one in the slice's value.
 		most := max(c.cfg.ValueBytes/64-len(s.tasks), 0)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -24,9 +24,48 @@
 	// and nobody can tell whether that was or will be carried out: such a
 	// transaction may be applied as long as the key keeps its stamp.
 	capped map[string]cap
+	asks   map[int]heardAsk // by other controller: what it asked for last
 	idleAt map[string]time.Duration
 }
 
+type heardAsk struct {
+	GrantAsk
+	at time.Duration
+}
+
+// rankOf orders waiting work for grants as ready orders it: far too late, then by
+// priority, then by age.
+func (c *Core) rankOf(s *slice) float64 {
+	age := seconds(c.now - s.job.since)
+	if c.overdue(s) {
+		return 1e6 + age
+	}
+	return float64(priorities-s.job.spec.Priority)*1e4 + age
+}
+
+// rankMargin keeps two parts with work of about the same age from yielding to
+// each other in turn.
+const rankMargin = 5
+
+// roomFor is how many tasks of a slice the part may start now. What other parts
+// asked for work that ranks higher is left to them as it becomes free: parts
+// whose own work never ends would otherwise hold a team's limit for ever, and
+// work in a part without a grant would never start.
+func (c *Core) roomFor(p *part, s *slice) int {
+	j := s.job
+	n := c.room(p, j.team, j.spec.Need)
+	if n == 0 || j.spec.Need.Cores <= 0 {
+		return n
+	}
+	left, mine := 0.0, c.rankOf(s)
+	for _, a := range c.quotas[j.team].asks {
+		if c.now < a.at+3*time.Second && a.Rank > mine+rankMargin {
+			left += a.Cores
+		}
+	}
+	return max(n-int(math.Ceil(left/j.spec.Need.Cores)), 0)
+}
+
 type cap struct {
 	stamp uint64
 	grant grant
@@ -198,16 +237,18 @@
 	return true
 }
 
-// wantGrants asks the other parts for idle grants of a team, and looks at what
+// wantGrants asks the other parts for grants of a slice's team, and looks at what
 // holds: grants given back are told, but words can be lost.
-func (c *Core) wantGrants(team int) {
+func (c *Core) wantGrants(s *slice) {
+	team := s.job.team
 	q := c.quotas[team]
 	if c.now < q.askAt {
 		return
 	}
 	q.askAt = c.now + time.Second
 	c.readQuota(q)
-	c.tellAll(Message{Grants: []string{q.team}})
+	cores := min(float64(s.waiting.count())*s.job.spec.Need.Cores, max(c.limits[team].Limit.Cores/8, s.job.spec.Need.Cores))
+	c.tellAll(Message{Asks: []GrantAsk{{q.team, cores, c.rankOf(s)}}})
 	for _, p := range c.parts {
 		if p.mine && p.loaded && c.giveBack(p, team, true) {
 			return
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -235,7 +235,7 @@
 	p := w.part
 	w.token = p.token
 	p.committing = true
-	c.commit(w.txn, true, func(res CommitResult) {
+	c.commitOp(CommitOp{Txn: w.txn, Urgent: true, Spare: true}, func(res CommitResult) {
 		if p.mine && p.token == w.token {
 			c.wrote(w, res)
 		}
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -115,6 +115,7 @@
 	for _, n := range w.Nodes {
 		n.Restart(50 * time.Millisecond)
 	}
+	w.Run(time.Second)
 	// The copies that are still coming bring no machine back to life, though no
 	// controller remembers that it was returned.
 	seen := false
@@ -379,3 +380,15 @@
 	w.Referee.Served()
 	assert.Contains(t, broken(), "team blue: 1 of 3")
 }
+
+func TestControllersThatStartWhileTheCloudIsAwayTakeJobs(t *testing.T) {
+	w := day(t, 40)
+	w.Run(5 * time.Second)
+	w.Cloud.Outage(time.Minute)
+	for _, n := range w.Nodes {
+		n.Restart(time.Second)
+	}
+	job := w.Submit(spec("job-1", "red", 2, 2), 5*time.Second)
+	assert.True(t, w.Until(10*time.Second, func() bool { return job.Accepted }), "the types are known from the store")
+	ends(t, w, job, 3*time.Minute)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -48,31 +48,48 @@
 	c.requests.SetLimit(rate.Limit(r))
 	c.requests.SetBurst(max(int(r), 1))
 	c.changes.SetLimit(rate.Limit(w))
-	c.changes.SetBurst(max(int(w), c.txnOps)) // the largest transaction must pass
+	c.changes.SetBurst(max(int(w), 2*c.txnOps)) // the largest transaction must pass, and not hold up the next
 }
 
 const timeout = 2 * time.Second
 
 // admit takes the tokens of a call. Calls that are not urgent leave a quarter
 // of the burst to the urgent ones and do not wait for long.
-func (c *Client) admit(ctx context.Context, urgent bool, changes int) bool {
+func (c *Client) admit(ctx context.Context, urgent bool) bool {
 	if !urgent && c.requests.Tokens() < float64(c.requests.Burst())/4 {
 		return false
 	}
-	if changes > c.changes.Burst() {
-		changes = c.changes.Burst()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return c.requests.Wait(ctx) == nil
+}
+
+// admitChanges takes a transaction's tokens for changes. One that spares waits
+// until the next submission would find some left.
+func (c *Client) admitChanges(ctx context.Context, changes int, spare bool) bool {
+	if changes == 0 {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if changes > 0 && c.changes.WaitN(ctx, changes) != nil {
-		return false
+	changes = min(changes, c.changes.Burst())
+	for spare && c.changes.Limit() > 0 {
+		short := float64(min(changes+c.txnOps/2, c.changes.Burst())) - c.changes.Tokens()
+		if short <= 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(time.Duration((short/float64(c.changes.Limit()) + 0.001) * float64(time.Second))):
+		}
 	}
-	return c.requests.Wait(ctx) == nil
+	return c.changes.WaitN(ctx, changes) == nil
 }
 
 // Commit carries out a transaction.
 func (c *Client) Commit(ctx context.Context, op core.CommitOp) core.CommitResult {
-	if !c.admit(ctx, op.Urgent, len(op.Txn.Apply)) {
+	if !c.admitChanges(ctx, len(op.Txn.Apply), op.Spare) || !c.admit(ctx, op.Urgent) {
 		return core.CommitResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodPost, "/commit", wire.EncodeTxn(op.Txn))
@@ -96,7 +113,7 @@
 
 // Read reads a key.
 func (c *Client) Read(ctx context.Context, op core.ReadOp) core.ReadResult {
-	if !c.admit(ctx, op.Urgent, 0) {
+	if !c.admit(ctx, op.Urgent) {
 		return core.ReadResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodGet, "/store/"+op.Key, nil)
@@ -118,7 +135,7 @@
 	var out core.ListResult
 	after := ""
 	for {
-		if !c.admit(ctx, true, 0) {
+		if !c.admit(ctx, true) {
 			return core.ListResult{Outcome: core.NotSent}
 		}
 		q := url.Values{"Starts": {op.Prefix}, "Page": {"500"}}
@@ -147,7 +164,7 @@
 
 // Follow waits for changes.
 func (c *Client) Follow(ctx context.Context, op core.FollowOp) core.FollowResult {
-	if !c.admit(ctx, true, 0) {
+	if !c.admit(ctx, true) {
 		return core.FollowResult{Outcome: core.NotSent}
 	}
 	path := fmt.Sprintf("/follow?Starts=%s&After=%d&WaitMs=%d", url.QueryEscape(op.Prefix), op.After, op.Wait.Milliseconds())
@@ -167,7 +184,7 @@
 
 // Hold asks for a lease.
 func (c *Client) Hold(ctx context.Context, op core.HoldOp) core.HoldResult {
-	if !c.admit(ctx, true, 0) {
+	if !c.admit(ctx, true) {
 		return core.HoldResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodPost, "/holds", wire.EncodeHold(op.Life.Milliseconds()))
@@ -179,7 +196,7 @@
 
 // Renew renews a lease.
 func (c *Client) Renew(ctx context.Context, op core.RenewOp) core.RenewResult {
-	if !c.admit(ctx, true, 0) {
+	if !c.admit(ctx, true) {
 		return core.RenewResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodPost, fmt.Sprintf("/holds/%d/renew", op.Lease), nil)
