Work that can still make an aim first; no second fleet after a claim

Causes: (1) with more usage-tally than marri hold, earliest deadline first has all of it late by a little; jobs that can make none of their aims any more now come after those that can, until they are overdue. (2) An owner knew only machines with tasks when it had loaded a part, and hired a second fleet beside the idle ones; it now waits for the cloud's list or for a round of reports. (3) Overdue at 100 s brought usage-tally jobs, due after 130 s, ahead of everything; now 170 s.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -55,11 +55,13 @@
 	GPUsMax float64 `json:"gpus_max"`
 }
 
-// Objective repeats one aim; only those of kind "wait" guide the service.
+// Objective repeats one aim; those of kind "finished" and "deadline" guide the
+// order of work.
 type Objective struct {
 	Kind    string  `json:"kind"`
 	Class   string  `json:"class"`
 	WithinS float64 `json:"within_s"`
+	Times   float64 `json:"times"`
 	Share   float64 `json:"share"`
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,7 +38,8 @@
 	Zones                 []string
 	Peers                 []Peer
 	Teams                 []Team
-	Finishes              map[string]float64 // tightest completion aim per class, seconds
+	Finishes              map[string][]float64 // completion aims per class in seconds, tightest first
+	Deadlines             map[string][]float64 // aims per class in multiples of the job's deadline, likewise
 	Report, Lease, Cancel time.Duration
 	ListLag               time.Duration
 	TxnOps, ValueBytes    int
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -67,7 +67,7 @@
 		c.noteLoad(p, demand)
 	}
 	coming := c.coming(p)
-	may := c.mayStart() && c.storeWell()
+	may := c.mayStart() && c.storeWell() && c.fleetKnown(p)
 	if may {
 		for _, n := range p.shortage {
 			c.hireFor(p, n, coming)
@@ -94,6 +94,14 @@
 // less in proportion.
 const chanceCores = 200.0
 
+// fleetKnown says whether a new owner knows the part's machines well enough to
+// hire more. Those with tasks are in the slices; idle ones are known by the
+// cloud's list, or when every worker has had time to report. Before that a
+// change of owners had a second fleet hired beside the first.
+func (c *Core) fleetKnown(p *part) bool {
+	return p.fleetListed || p.freshStart || c.now > p.loadedAt+c.cfg.Report*13/10
+}
+
 // pools groups the machine types that the same classes of jobs can use. Room
 // on one type of a pool is as good as on another; room on another pool's may be
 // none at all to the work that waits.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -1005,6 +1005,12 @@
 		return
 	}
 	c.listBusy, c.listAt = true, c.now+6*time.Second
+	sent := map[*part]uint64{}
+	for _, p := range c.parts {
+		if p.mine {
+			sent[p] = p.tenure
+		}
+	}
 	c.call(HostsOp{}, func(r any) {
 		c.listBusy = false
 		res := r.(HostsResult)
@@ -1042,6 +1048,11 @@
 				h.state, h.returnAt = returning, c.now
 			}
 		}
+		for p, tenure := range sent {
+			if p.mine && p.tenure == tenure {
+				p.fleetListed = true
+			}
+		}
 	})
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -452,7 +452,7 @@
 		c.tellAll(Message{Jobs: news})
 		for _, b := range group {
 			delete(c.batching, b.spec.ID)
-			c.note(1, "job accepted", "job", b.spec.ID, "tasks", b.spec.Tasks, "parts", len(b.split), "after", seconds(c.now-b.arrived))
+			c.note(1, "job accepted", "job", b.spec.ID, "class", b.spec.Class, "tasks", b.spec.Tasks, "parts", len(b.split), "after", seconds(c.now-b.arrived))
 			for i, req := range b.reqs {
 				status := 201
 				if i > 0 {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -25,7 +25,11 @@
 	yielding bool // told to stop: commit nothing, answer nobody
 	loading  bool
 	loaded   bool
-	homeUp   time.Duration // since when the home controller is seen well
+	// What a new owner knows of its machines.
+	fleetListed bool // the cloud's list of a moment after the claim has been read
+	freshStart  bool // there was no work yet
+
+	homeUp time.Duration // since when the home controller is seen well
 
 	hosts  map[string]*host
 	order  []*host                  // the same by name
@@ -370,6 +374,7 @@
 	p.owner, p.stamp, p.token, p.freeSince = c.cfg.Label, revision, revision, 0
 	if !again {
 		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
+		p.fleetListed, p.freshStart = false, false
 		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
 		p.order, p.toSend, p.slowSum, p.slowN = nil, nil, 0, 0
 		p.later = map[string]time.Duration{}
@@ -415,6 +420,7 @@
 				return
 			}
 			p.loading, p.loaded, p.replan, p.loadedAt = false, true, true, c.now
+			p.freshStart = len(res.Items) == 0
 			// Jobs that came after the listing, and were heard of before this.
 			for _, id := range sorted(c.jobs) {
 				if _, here := c.jobs[id].split[p.name]; here && p.slices[id] == nil {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -1,9 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
-	"sort"
+	"slices"
 	"time"
 
 	"roadcleat/internal/plan"
@@ -204,18 +205,24 @@
 	return device{d, h.part.zone, h}
 }
 
-// overdue is how long a job may wait for its first task before it goes ahead of
-// all others: whatever the order, nothing is starved by a stream of more urgent
-// or smaller work.
-const overdue = 100 * time.Second
+// A job that has waited so long for its first task goes ahead of all others, and
+// so does what is left of one that is older still: whatever the order, nothing
+// is starved by a stream of more urgent or smaller work.
+const (
+	beginBy = 170 * time.Second
+	endBy   = 400 * time.Second
+)
 
 func (c *Core) overdue(s *slice) bool {
-	return len(s.tasks)+len(s.done) == 0 && c.now > s.job.since+overdue
+	age := c.now - s.job.since
+	return age > endBy || age > beginBy && len(s.tasks)+len(s.done) == 0
 }
 
 // ready lists the slices with waiting tasks in the order they are served:
 // those that wait far too long first, then by priority, teams within their
-// guarantee first, then by the time left to their aim or deadline.
+// guarantee first, then by the time left to their aim or deadline. Jobs that can
+// no longer make it come after those that can: with more work than room, the
+// earliest deadline first would have all of them late by a little.
 func (c *Core) ready(p *part) []*slice {
 	var list []*slice
 	for _, s := range p.slices {
@@ -228,42 +235,93 @@
 		used, g := c.teamUse(t), c.limits[t].Guarantee
 		within[t] = used.Cores < g.Cores || used.Cards < g.Cards
 	}
-	by := make(map[*slice]float64, len(list))
-	late := make(map[*slice]bool)
-	for _, s := range list {
-		by[s] = c.startBy(s.job)
-		late[s] = c.overdue(s)
+	slots := c.slotsOf(p)
+	type key struct {
+		late, lost bool
+		by         float64
 	}
-	sort.Slice(list, func(a, b int) bool {
-		x, y := list[a].job, list[b].job
-		if lx, ly := late[list[a]], late[list[b]]; lx != ly {
-			return lx
-		}
-		if wx, wy := within[x.team], within[y.team]; x.spec.Priority == y.spec.Priority && wx != wy {
-			return wx
-		}
-		if x.spec.Priority != y.spec.Priority {
-			return x.spec.Priority < y.spec.Priority
-		}
-		if dx, dy := by[list[a]], by[list[b]]; dx != dy {
-			return dx < dy
+	keys := make(map[*slice]key, len(list))
+	for _, s := range list {
+		by, lost := c.startBy(s.job, float64(s.waiting.count())/max(slots(s.job), 1))
+		keys[s] = key{c.overdue(s), lost, by}
+	}
+	slices.SortFunc(list, func(a, b *slice) int {
+		x, y := a.job, b.job
+		kx, ky := keys[a], keys[b]
+		byPriority := cmp.Compare(x.spec.Priority, y.spec.Priority)
+		if kx.late || ky.late {
+			byPriority = 0
+		}
+		first := func(x, y bool) int {
+			switch {
+			case x == y:
+				return 0
+			case x:
+				return -1
+			}
+			return 1
 		}
-		return x.id < y.id
+		return cmp.Or(first(kx.late, ky.late), byPriority, first(within[x.team], within[y.team]), first(ky.lost, kx.lost),
+			cmp.Compare(kx.by, ky.by), cmp.Compare(x.id, y.id))
 	})
 	return list
 }
 
-// startBy is when a job should have started to end as its class's aim or its
-// deadline asks; without either it counts as due in ten minutes.
-func (c *Core) startBy(j *job) float64 {
-	by := 600.0
-	if f, ok := c.cfg.Finishes[j.spec.Class]; ok {
-		by = min(by, f)
+// slotsOf tells how many tasks of a job the part's machines hold at once.
+func (c *Core) slotsOf(p *part) func(*job) float64 {
+	count := make([]float64, len(c.types)*2)
+	for _, h := range p.hostList() {
+		if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+			k := h.typ * 2
+			if h.spot {
+				k++
+			}
+			count[k]++
+		}
+	}
+	return func(j *job) float64 {
+		n := 0.0
+		for k, m := range count {
+			if m > 0 && c.allowedOn(j, c.kind(p.zone, k/2, k&1 == 1)) {
+				n += m * float64(c.holds(k/2, j.spec.Need))
+			}
+		}
+		return n
+	}
+}
+
+// startBy is when a job should have started to meet the tightest of its class's
+// aims and its deadlines that it still can, its tasks going through the machines
+// in so many rounds, and whether it can meet none any more. Without any it
+// counts as due in ten minutes.
+func (c *Core) startBy(j *job, rounds float64) (by float64, lost bool) {
+	since, run := seconds(j.since), c.estimate(j)*max(rounds, 1)
+	try := func(within float64) bool {
+		by = since + within - run
+		return by >= seconds(c.now)
+	}
+	aims := false
+	for _, f := range c.cfg.Finishes[j.spec.Class] {
+		if aims = true; try(f) {
+			return by, false
+		}
+	}
+	if d := j.spec.Deadline; d > 0 {
+		times := c.cfg.Deadlines[j.spec.Class]
+		if len(times) == 0 {
+			times = []float64{1}
+		}
+		for _, t := range times {
+			if aims = true; try(d * t) {
+				return by, false
+			}
+		}
 	}
-	if j.spec.Deadline > 0 {
-		by = min(by, j.spec.Deadline)
+	if aims {
+		return by, true
 	}
-	return seconds(j.since) + by - c.estimate(j)
+	try(600)
+	return by, false
 }
 
 // teamUse is what a team uses in all parts, as far as known here.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -100,7 +101,7 @@
 	d := &s.Deployment
 	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 	cfg := core.Config{
-		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string]float64{},
+		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
 		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
@@ -115,8 +116,16 @@
 			Limit: core.Amount{Cores: t.CPUsMax, Cards: t.GPUsMax}})
 	}
 	for _, ob := range d.Objectives {
-		if f, ok := cfg.Finishes[ob.Class]; ob.Kind == "finished" && (!ok || ob.WithinS < f) {
-			cfg.Finishes[ob.Class] = ob.WithinS
+		switch {
+		case ob.Kind == "finished" && ob.WithinS > 0:
+			cfg.Finishes[ob.Class] = append(cfg.Finishes[ob.Class], ob.WithinS)
+		case ob.Kind == "deadline" && ob.Times > 0:
+			cfg.Deadlines[ob.Class] = append(cfg.Deadlines[ob.Class], ob.Times)
+		}
+	}
+	for _, aims := range []map[string][]float64{cfg.Finishes, cfg.Deadlines} {
+		for _, list := range aims {
+			slices.Sort(list)
 		}
 	}
 	return cfg
