--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// chanceCores is the demand up to which the whole spare share is kept. What comes
-// by chance grows with the root of the demand only, so a larger fleet needs
-// less in proportion.
+// chanceCores is the demand up to which the whole spare share is kept and queues
+// are not reckoned with. What comes by chance grows with the root of the demand
+// only, so a larger fleet needs less in proportion and is easier to foresee.
 const chanceCores = 200.0
 
 // fleetKnown says whether a new owner knows the part's machines well enough to
@@ -262,10 +262,11 @@
 			continue
 		}
 		boot := duration(c.types[typ].BootS)
-		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot {
+		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
 			// Dear machines only for what still waits when they are up. What has
 			// waited as long as that already is not put off by a reckoning: the
-			// queue counts machines that this very job may not be able to use.
+			// queue counts machines that this very job may not be able to use, and
+			// on a few machines a queue says little of when it ends.
 			queue := c.queueFor(p, n.job.spec.Priority)[typ]
 			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
 				return
