--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	Report, Lease, Cancel time.Duration
 	ListLag               time.Duration
 	TxnOps, ValueBytes    int
+	Changes               float64 // what the state service takes a second from all controllers; 0: not limited
 	Knobs                 Knobs
 	Boot                  uint64 // which life of this controller; never the same twice
 	Seed                  uint64
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -429,6 +429,16 @@
 	}
 }
 
+// recordOps is how many changes an owner puts into a transaction: no more than
+// its share brings in half a second. A larger one would have to wait for tokens
+// longer than any call does; it was given up and tried again for 8 s.
+func (c *Core) recordOps() int {
+	if c.cfg.Changes == 0 {
+		return c.cfg.TxnOps
+	}
+	return min(max(int(c.cfg.Changes*c.share.Changes/2), 6), c.cfg.TxnOps)
+}
+
 // dirtyOrder lists the slices to record: the more urgent jobs first, so that
 // none waits behind others because of its name when changes are short.
 func (p *part) dirtyOrder() []string {
@@ -459,7 +469,7 @@
 	size := 0
 	for _, id := range p.dirtyOrder() {
 		s := p.dirty[id]
-		if len(w.txn.Apply)+3 > c.cfg.TxnOps || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
+		if len(w.txn.Apply)+3 > c.recordOps() || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
 			break
 		}
 		delete(p.dirty, id)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -103,7 +103,7 @@
 	cfg := core.Config{
 		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
-		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, Changes: d.State.WriteRPS, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
 		Knobs: core.Knobs{FetchSPerGB: o.FetchSPerGB, Frontier: o.Frontier, KeepIdle: sec(o.KeepIdleS), Window: sec(o.WindowS),
 			SpareShare: o.SpareShare, SilentReturn: sec(o.SilentReturnS), Hold: sec(o.HoldS), Grace: sec(o.GraceS)},
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -70,11 +70,12 @@
 	if changes == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
 	changes = min(changes, c.changes.Burst())
 	for spare && c.changes.Limit() > 0 {
-		short := float64(min(changes+c.txnOps/2, c.changes.Burst())) - c.changes.Tokens()
+		left := min(float64(c.txnOps)/2, float64(c.changes.Limit())/4)
+		short := min(float64(changes)+left, float64(c.changes.Burst())) - c.changes.Tokens()
 		if short <= 0 {
 			break
 		}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,35 @@
+package state
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"roadcleat/internal/core"
+)
+
+func TestRecordsLeaveChangesToSubmissionsAndStillComeThrough(t *testing.T) {
+	// An owner's transaction that had to wait for more tokens than its share
+	// brings while a call may wait was given up and tried again for seconds.
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"Ledger":7}`))
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), 1000, 80, 48, 0.3) // 24 changes a second
+	txn := func(n int) core.Txn { return core.Txn{Apply: make([]core.Set, n)} }
+	ctx := context.Background()
+	c.changes.AllowN(time.Now(), c.changes.Burst()) // a burst has used all there was
+	res := c.Commit(ctx, core.CommitOp{Txn: txn(12), Urgent: true, Spare: true})
+	assert.Equal(t, core.OK, res.Outcome, "half a second's share comes through")
+	start := time.Now()
+	res = c.Commit(ctx, core.CommitOp{Txn: txn(4), Urgent: true})
+	assert.Equal(t, core.OK, res.Outcome)
+	assert.Less(t, time.Since(start), 200*time.Millisecond, "a submission finds changes left")
+	res = c.Commit(ctx, core.CommitOp{Txn: txn(48), Urgent: true, Spare: true})
+	assert.Equal(t, core.NotSent, res.Outcome, "what would wait too long is not sent")
+}
