--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -341,8 +341,8 @@
 const soon = 0.05
 
 // ahead is how many of a job's tasks that find no room now are given room
-// later, so that work behind them can't take it; what comes after them is
-// planned when they have started.
+// later, so that work behind them can't take it. What comes after them takes
+// what is free now or is planned when they have started.
 const ahead = 32
 
 // Planning costs about this much per machine looked at and per task placed.
@@ -395,7 +395,8 @@
 		var starts []plan.Placement
 		later, after := 0, 60.0
 		looks += len(devices)
-		tasks += plan.Spread(c.step(j), n, devices, now, func(pl plan.Placement) bool {
+		step := c.step(j)
+		visit := func(pl plan.Placement) bool {
 			if !j.spec.Gang && (pl.Start > now+soon || all[pl.Device].host.state != up) {
 				later++
 				after = min(after, pl.Start-now)
@@ -403,7 +404,21 @@
 			}
 			starts = append(starts, pl)
 			return true
-		})
+		}
+		planned := plan.Spread(step, n, devices, now, visit)
+		if later >= ahead && planned < n {
+			// Machines that are free must not stay so because the job would
+			// rather wait for others, which the first of it have taken.
+			step.By = now + soon
+			looks += len(devices)
+			planned += plan.Spread(step, n-planned, devices, now, func(pl plan.Placement) bool {
+				if all[pl.Device].host.state == up {
+					starts = append(starts, pl)
+				}
+				return true
+			})
+		}
+		tasks += planned
 		if j.spec.Gang && !c.allNow(starts, n, all) {
 			p.shortage = append(p.shortage, need{j, n, 60})
 			continue
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -14,6 +14,7 @@
 	Allowed func(kind int) bool    // nil: any machine
 	Cost    func(kind int) float64 // seconds added when machines of a kind are compared; nil: none
 	Gang    bool                   // all tasks take their room at the same moment
+	By      float64                // Spread: tasks start by then or not at all; 0: whenever
 }
 
 // Schedule is a complete placement of a pipeline.
@@ -346,7 +347,7 @@
 func (c *candidate) look(s *Step, dev *Device, ready float64) bool {
 	start, end, ok := dev.try(s, ready)
 	c.start, c.finish, c.cost, c.exact = start, end, end+dev.cost(s), true
-	return ok
+	return ok && (s.By == 0 || start <= s.By)
 }
 
 // before orders by cost; of equal ones those not exact come first, so that the
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -146,3 +146,17 @@
 		}
 	}
 }
+
+func TestWorkThatMustStartNowTakesFreeMachinesOnly(t *testing.T) {
+	cached := &Device{Total: Amount{Cores: 2}, SPerGB: 10, Images: []Held{{0, 0}}, Uses: []Use{{0, 5, Amount{Cores: 2}}}}
+	free := &Device{Total: Amount{Cores: 4}, SPerGB: 10}
+	step := Step{Need: Amount{Cores: 2}, Comp: 20, ImageGB: 3}
+	var at []int
+	visit := func(p Placement) bool { at = append(at, p.Device); return len(at) < 1 }
+	require.Equal(t, 1, Spread(&step, 4, []*Device{cached, free}, 0, visit))
+	assert.Equal(t, []int{0}, at, "waiting for the image is earlier than fetching it")
+	at, step.By = nil, 0.05
+	visit = func(p Placement) bool { at = append(at, p.Device); assert.Zero(t, p.Start); return true }
+	assert.Equal(t, 2, Spread(&step, 3, []*Device{cached, free}, 0, visit))
+	assert.Equal(t, []int{1, 1}, at)
+}
