--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -83,7 +83,11 @@
 		}
 		target := peak + mean*c.cfg.Knobs.SpareShare*min(1, math.Sqrt(chanceCores/max(mean, 1)))
 		if capacity := c.capacity(p, types); may && capacity < target && mean > 0 {
-			c.hireRoom(p, types, target-capacity)
+			lasting := target - capacity
+			if target > chanceCores {
+				lasting = mean*1.05 - capacity
+			}
+			c.hireRoom(p, types, target-capacity, lasting)
 		}
 		c.returnIdle(p, types, target)
 	}
@@ -306,10 +310,16 @@
 	return n
 }
 
-// hireRoom rents for demand foreseen, one kind at a time.
-func (c *Core) hireRoom(p *part, types uint64, cores float64) {
+// hireRoom rents for demand foreseen, one kind at a time: spot machines up to
+// what peaks ask for, dear ones only up to the demand that lasts, where there are
+// enough machines to tell. A peak is mostly over by the time a machine is up.
+func (c *Core) hireRoom(p *part, types uint64, peaks, lasting float64) {
 	for _, o := range c.offers(p) {
 		typ := c.typeIdx.known(o.Type)
+		cores := peaks
+		if !o.Spot {
+			cores = lasting
+		}
 		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
 			c.hire(p, o, min(n, 4))
 			return
