--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,6 +34,11 @@
 		{`"cancel_s":44`, `"cancel_s":10`, "cancel_s"},
 		{`"memory_mb":100`, `"memory_mb":-5`, "memory_mb"},
 		{`"label":"n0"`, `"label":7`, "label"},
+		{`"rps":150`, `"rps":5`, "deployment.state.rps: 5 is too few for 2 controllers, at least 6"},
+		{`"write_rps":50`, `"write_rps":1.5`, "deployment.state.write_rps"},
+		{`"rps":5`, `"rps":0.1`, "deployment.cloud.rps"},
+		{`"memory_mb":100`, `"memory_mb":8`, "deployment.resources.memory_mb"},
+		{`"fd_limit":100`, `"fd_limit":50`, "deployment.resources.fd_limit"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
 		require.Error(t, err, c.to)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -199,6 +199,43 @@
 			return fmt.Errorf("%s: must not be negative", p.field)
 		}
 	}
+	return s.checkSize()
+}
+
+// What every controller needs, whatever it owns: renewing its lease and
+// following the store, being heard at all, the cloud's list now and then, and
+// sockets for calls to the outside beside those for users and workers.
+const (
+	leastRequests = 3.0
+	leastChanges  = 1.0
+	leastCalls    = 0.1
+	leastMemoryMB = 24.0
+	leastSockets  = 48
+)
+
+// checkSize refuses budgets on which so many controllers can't run. More
+// controllers than zones are well: those without a part stand by.
+func (s *Settings) checkSize() error {
+	n := float64(1 + len(s.Others))
+	d := &s.Deployment
+	for _, b := range []struct {
+		field      string
+		has, least float64
+	}{
+		{"deployment.state.rps", d.State.RPS, leastRequests * n},
+		{"deployment.state.write_rps", d.State.WriteRPS, leastChanges * n},
+		{"deployment.cloud.rps", d.Cloud.RPS, leastCalls * n},
+	} {
+		if b.has < b.least {
+			return fmt.Errorf("%s: %g is too few for %g controllers, at least %g are needed", b.field, b.has, n, b.least)
+		}
+	}
+	if m := d.Resources.MemoryMB; m > 0 && m < leastMemoryMB {
+		return fmt.Errorf("deployment.resources.memory_mb: %g is too little, at least %g are needed", m, leastMemoryMB)
+	}
+	if f, least := d.Resources.FDLimit, leastSockets+4*len(s.Others); f > 0 && f < least {
+		return fmt.Errorf("deployment.resources.fd_limit: %d is too few beside %d other controllers, at least %d are needed", f, len(s.Others), least)
+	}
 	return nil
 }
 
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -266,16 +266,12 @@
 			continue
 		}
 		boot := duration(c.types[typ].BootS)
-		if n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
-			// Machines only for what still waits when they are up, cheap ones for
-			// what waits half as long. What has
+		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
+			// Dear machines only for what still waits when they are up. What has
 			// waited as long as that already is not put off by a reckoning: the
 			// queue counts machines that this very job may not be able to use, and
 			// on a few machines a queue says little of when it ends.
 			queue := c.queueFor(p, n.job.spec.Priority)[typ]
-			if o.Spot {
-				boot /= 2
-			}
 			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
 				return
 			}
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -392,3 +392,21 @@
 	assert.True(t, w.Until(10*time.Second, func() bool { return job.Accepted }), "the types are known from the store")
 	ends(t, w, job, 3*time.Minute)
 }
+
+func TestABurstOnALargePartHasCheapMachinesHiredAtOnce(t *testing.T) {
+	// A rule that hired for queues only that outlast half a boot had bursts of
+	// urgent work wait on swanlic-wa-grown's inc-024c: the next of the burst came
+	// when no machine was on its way.
+	w := oneController(t, 41, func(c *core.Config) { c.Teams[0].Limit = core.Amount{Cores: 2000} })
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 60
+	}
+	long := w.Submit(spec("job-1", "red", 120, 4), 10*time.Minute)
+	require.True(t, w.Until(2*time.Minute, started(w, "job-1", 120)))
+	w.Run(2 * time.Minute) // what is idle goes back, and nothing is foreseen
+	before := len(w.Workers)
+	w.Submit(spec("job-2", "red", 40, 4), 4*time.Second)
+	assert.True(t, w.Until(250*time.Millisecond, func() bool { return len(w.Workers) > before+6 }), "machines are on their way")
+	w.Stop(long)
+	ends(t, w, long, 30*time.Second)
+}
