Work leaves a part that is dark to its owner, and nothing is hired there

Its owner now says so, moves waiting work to the part with the shortest queue and hires one machine at a time to listen.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -398,6 +398,7 @@
 type PartView struct {
 	Zone   string
 	Token  uint64
+	Dark   bool // its owner hears none of its workers
 	Hosts  []HostGroup
 	Queue  []Backlog
 	Images []ImageShare
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -68,6 +68,16 @@
 	}
 	coming := c.coming(p)
 	may := c.mayStart() && c.storeWell() && c.fleetKnown(p)
+	if c.dark(p) {
+		if !p.wasDark {
+			p.wasDark = true
+			c.note(2, "part is dark: none of its workers is heard here", "part", p.name, "token", p.token)
+		}
+		may = false
+		if len(coming) == 0 && len(p.shortage) > 0 && c.mayStart() {
+			c.probe(p)
+		}
+	}
 	if may {
 		for _, n := range p.shortage {
 			c.hireFor(p, n, coming)
@@ -106,6 +116,15 @@
 	return p.fleetListed || p.freshStart || c.now > p.loadedAt+c.cfg.Report*13/10
 }
 
+// probe hires one machine of a dark part, to hear whether it is still dark.
+func (c *Core) probe(p *part) {
+	for _, o := range c.offers(p) {
+		if c.hire(p, o, 1) {
+			return
+		}
+	}
+}
+
 // pools groups the machine types that the same classes of jobs can use. Room
 // on one type of a pool is as good as on another; room on another pool's may be
 // none at all to the work that waits.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -466,6 +466,10 @@
 	}
 	h.session, h.seq = rep.Session, rep.Seq
 	h.lastHeard = c.now
+	if p.heardAt = c.now; p.wasDark {
+		p.wasDark = false
+		c.note(1, "part heard again", "part", p.name, "token", p.token)
+	}
 	if rep.Token > h.token {
 		h.token = rep.Token
 		for k, l := range h.unsure {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -38,6 +38,9 @@
 // betterPart finds a part of another owner, or another of mine, with room for
 // some of the tasks now, and how many.
 func (c *Core) betterPart(p *part, j *job, n need) (*part, int) {
+	if c.dark(p) {
+		return c.leastBusy(p, j), min(n.tasks, 64)
+	}
 	var best *part
 	most := 0
 	now := seconds(c.now)
@@ -62,6 +65,24 @@
 	return best, min(most, n.tasks, 32)
 }
 
+// leastBusy is the part with the shortest queue for a job's tasks, of those whose
+// workers are heard. It takes in what waits in a dark part, room or not.
+func (c *Core) leastBusy(p *part, j *job) *part {
+	var best *part
+	least := 0.0
+	typ := c.usualType(j)
+	for _, q := range c.parts {
+		if q == p || typ < 0 || c.darkFor(q) || q.mine && !q.loaded || !q.mine && (q.view == nil || c.now > q.viewAt+1500*time.Millisecond) ||
+			!c.zoneHolds(j, q) {
+			continue
+		}
+		if wait := c.queueFor(q, j.spec.Priority)[typ]; best == nil || wait < least {
+			best, least = q, wait
+		}
+	}
+	return best
+}
+
 // move carries out a move: the other part's slice is read, then both change
 // together.
 func (c *Core) move(p, to *part, s *slice, count int) {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -26,8 +26,10 @@
 	loading  bool
 	loaded   bool
 	// What a new owner knows of its machines.
-	fleetListed bool // the cloud's list of a moment after the claim has been read
-	freshStart  bool // there was no work yet
+	fleetListed bool          // the cloud's list of a moment after the claim has been read
+	freshStart  bool          // there was no work yet
+	heardAt     time.Duration // when any of its workers was last heard here
+	wasDark     bool
 
 	homeUp time.Duration // since when the home controller is seen well
 
@@ -374,7 +376,7 @@
 	p.owner, p.stamp, p.token, p.freeSince = c.cfg.Label, revision, revision, 0
 	if !again {
 		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
-		p.fleetListed, p.freshStart = false, false
+		p.fleetListed, p.freshStart, p.heardAt = false, false, c.now
 		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
 		p.order, p.toSend, p.slowSum, p.slowN = nil, nil, 0, 0
 		p.later = map[string]time.Duration{}
@@ -513,6 +515,16 @@
 	c.yield(p, home, "its home is back")
 }
 
+// dark says whether this controller looks after another zone's part of which it
+// hears nobody, as when that zone is cut off: machines hired there could not be
+// heard either, and work that waits there would wait for the cut to end.
+func (c *Core) dark(p *part) bool {
+	if mine, _ := c.homeOf(p); mine || !p.mine {
+		return false
+	}
+	return c.now > p.heardAt+max(c.cfg.Report*3, 10*time.Second) && (len(p.hosts) >= 3 || p.wasDark)
+}
+
 // deafFor is how long a controller that gave a part up for not hearing its
 // workers is not given one back.
 const deafFor = time.Minute
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -165,7 +165,7 @@
 }
 
 func (c *Core) viewOf(p *part) PartView {
-	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}}
+	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}, Dark: c.dark(p)}
 	v.Hosts, v.Images = c.groups(p)
 	v.Queue = c.backlog(p)
 	for o, until := range p.scarce {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -545,6 +545,9 @@
 			if !p.mine && (p.view == nil || c.now > p.viewAt+3*time.Second) {
 				wait += 15 // nobody is known to look after that part now
 			}
+			if c.darkFor(p) {
+				wait += 120
+			}
 			total := typ.Total.plan()
 			for range imagined {
 				out = append(out, device{&plan.Device{Kind: c.kind(p.zone, t, spot), Total: total,
@@ -555,6 +558,14 @@
 	return out
 }
 
+// darkFor says whether a part is dark by own knowledge or its owner's word.
+func (c *Core) darkFor(p *part) bool {
+	if p.mine {
+		return c.dark(p)
+	}
+	return p.view != nil && p.view.Dark
+}
+
 func (c *Core) isScarce(p *part, o Offer) bool {
 	if p.mine {
 		return c.now < p.scarce[o]
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -410,3 +411,60 @@
 	w.Stop(long)
 	ends(t, w, long, 30*time.Second)
 }
+
+func TestWorkLeavesAZoneThatIsCutOffAndNoMachinesAreHiredInTheDark(t *testing.T) {
+	w := day(t, 42)
+	var jobs []*Job
+	for i := range 3 {
+		s := spec(fmt.Sprintf("job-%d", i), "red", 6, 2)
+		s.Zone = "a"
+		jobs = append(jobs, w.Submit(s, 20*time.Second))
+	}
+	require.True(t, w.Until(60*time.Second, func() bool { return len(workersOf(w, "a")) >= 3 && started(w, "job-0", 6)() }))
+	home := w.Nodes[0]
+	const d = 2 * time.Minute
+	for _, other := range []string{"state", "cloud", "users", "node-1", "node-2"} {
+		w.Cut(home.Name, other, d, true)
+	}
+	cutOff := func(k *Worker) {
+		w.Cut("node-1", k.name, w.Calm-w.Now, true)
+		w.Cut("node-2", k.name, w.Calm-w.Now, true)
+	}
+	for _, name := range workersOf(w, "a") {
+		cutOff(w.Workers[name])
+	}
+	born := 0
+	w.Cloud.BootS = func(name string) float64 {
+		w.After(0, func() {
+			if k := w.Workers[name]; k.zone == "a" {
+				born++
+				cutOff(k)
+			}
+		})
+		return 5
+	}
+	w.Run(25 * time.Second) // another controller takes the part and hears nobody
+	first := len(jobs)
+	for i := range 4 {
+		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-1%d", i), "red", 5, 2), 5*time.Second))
+	}
+	w.Run(70 * time.Second) // the cut still lasts
+	for _, j := range jobs[first:] {
+		assert.True(t, j.Over(), "%s runs elsewhere", j.Spec.ID)
+	}
+	assert.LessOrEqual(t, born, 5, "machines hired in the dark")
+	for _, j := range jobs {
+		ends(t, w, j, 5*time.Minute)
+	}
+}
+
+func workersOf(w *World, zone string) []string {
+	var names []string
+	for name, k := range w.Workers {
+		if k.zone == zone {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
