--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -73,10 +73,6 @@
 			p.wasDark = true
 			c.note(2, "part is dark: none of its workers is heard here", "part", p.name, "token", p.token)
 		}
-		may = false
-		if len(coming) == 0 && len(p.shortage) > 0 && c.mayStart() {
-			c.probe(p)
-		}
 	}
 	if may {
 		for _, n := range p.shortage {
@@ -116,15 +112,6 @@
 	return p.fleetListed || p.freshStart || c.now > p.loadedAt+c.cfg.Report*13/10
 }
 
-// probe hires one machine of a dark part, to hear whether it is still dark.
-func (c *Core) probe(p *part) {
-	for _, o := range c.offers(p) {
-		if c.hire(p, o, 1) {
-			return
-		}
-	}
-}
-
 // pools groups the machine types that the same classes of jobs can use. Room
 // on one type of a pool is as good as on another; room on another pool's may be
 // none at all to the work that waits.
@@ -327,12 +314,13 @@
 
 // hireRoom rents for demand foreseen, one kind at a time: spot machines up to
 // what peaks ask for, dear ones only up to the demand that lasts, where there are
-// enough machines to tell. A peak is mostly over by the time a machine is up.
+// enough machines to tell and no queue outlasts a boot. A peak is mostly over by
+// the time a machine is up.
 func (c *Core) hireRoom(p *part, types uint64, peaks, lasting float64) {
 	for _, o := range c.offers(p) {
 		typ := c.typeIdx.known(o.Type)
 		cores := peaks
-		if !o.Spot {
+		if !o.Spot && c.queueFor(p, priorities)[typ] < c.types[typ].BootS {
 			cores = lasting
 		}
 		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -19,10 +19,11 @@
 	if p.moving || c.now < p.moveAt || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 || !c.mayStart() {
 		return
 	}
+	dark := c.dark(p) // machines that should be up any moment are not heard either
 	for _, n := range p.shortage {
 		j := n.job
 		s := p.slices[j.id]
-		if s == nil || n.after < moveGain || j.spec.Zone != "" || j.spec.Gang || j.spec.Apart || s.busy ||
+		if s == nil || n.after < moveGain && !dark || j.spec.Zone != "" || j.spec.Gang || j.spec.Apart || s.busy ||
 			len(s.settled) > 0 || j.spec.OneZone || c.now < s.moveAt {
 			continue
 		}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -516,8 +516,8 @@
 }
 
 // dark says whether this controller looks after another zone's part of which it
-// hears nobody, as when that zone is cut off: machines hired there could not be
-// heard either, and work that waits there would wait for the cut to end.
+// hears nobody, as when that zone is cut off: work that waits there would wait for
+// the cut to end.
 func (c *Core) dark(p *part) bool {
 	if mine, _ := c.homeOf(p); mine || !p.mine {
 		return false
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -546,7 +546,7 @@
 				wait += 15 // nobody is known to look after that part now
 			}
 			if c.darkFor(p) {
-				wait += 120
+				wait += 60
 			}
 			total := typ.Total.plan()
 			for range imagined {
