--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -129,47 +129,60 @@
 	})
 }
 
-// compareJobs finds out which jobs still have the stamps given, as many with
-// one request as a transaction may compare.
+// compare finds out, with one request, which jobs still have the stamps given; 0
+// is for one that does not exist. What a refusal names differs; of the rest it
+// says nothing, for it need not name every key. When it names none, all are taken
+// to differ.
+func (c *Core) compare(ids []string, stamps map[string]uint64, then func(out Outcome, rest, differ []string)) {
+	var t Txn
+	for _, id := range ids {
+		t.Guards = append(t.Guards, Guard{"job/" + id, stamps[id]})
+	}
+	c.commit(t, true, func(res CommitResult) {
+		if res.Outcome != Refused {
+			then(res.Outcome, ids, nil)
+			return
+		}
+		var rest, differ []string
+		for _, id := range ids {
+			if contains(res.Failed, "job/"+id) {
+				differ = append(differ, id)
+			} else {
+				rest = append(rest, id)
+			}
+		}
+		if len(differ) == 0 {
+			rest, differ = nil, ids
+		}
+		then(Refused, rest, differ)
+	})
+}
+
+// compareJobs does so for any number of jobs, until there is an answer for each.
 func (c *Core) compareJobs(ids []string, stamps map[string]uint64, valid func() bool, same, differs func(id string)) {
 	if len(ids) == 0 || !valid() {
 		return
 	}
 	n := min(len(ids), 4*c.cfg.TxnOps)
-	var t Txn
-	for _, id := range ids[:n] {
-		t.Guards = append(t.Guards, Guard{"job/" + id, stamps[id]})
-	}
-	c.commit(t, true, func(res CommitResult) {
+	c.compare(ids[:n:n], stamps, func(out Outcome, rest, differ []string) {
 		if !valid() {
 			return
 		}
-		var left []string
-		switch res.Outcome {
+		switch out {
 		case OK:
-			for _, id := range ids[:n] {
+			for _, id := range rest {
 				same(id)
 			}
+			rest = nil
 		case Refused:
-			// Those named differ; the others are compared again without them.
-			for _, id := range ids[:n] {
-				if contains(res.Failed, "job/"+id) {
-					differs(id)
-				} else {
-					left = append(left, id)
-				}
-			}
-			if len(left) == n {
-				for _, id := range left {
-					differs(id)
-				}
-				left = nil
+			for _, id := range differ {
+				differs(id)
 			}
 		default:
 			c.after(300*time.Millisecond, func() { c.compareJobs(ids, stamps, valid, same, differs) })
 			return
 		}
-		c.compareJobs(append(left, ids[n:]...), stamps, valid, same, differs)
+		c.compareJobs(append(rest, ids[n:]...), stamps, valid, same, differs)
 	})
 }
 
@@ -547,40 +560,29 @@
 // verify answers the questions about the jobs given.
 func (c *Core) verify(ids []string, reqs map[string][]uint64) {
 	stamps := make(map[string]uint64, len(ids))
-	var t Txn
 	for _, id := range ids {
 		if j := c.jobs[id]; j != nil {
 			stamps[id] = j.stamp
 		}
-		t.Guards = append(t.Guards, Guard{"job/" + id, stamps[id]})
 	}
 	c.verifying++
-	c.commit(t, true, func(res CommitResult) {
+	c.compare(ids, stamps, func(out Outcome, rest, differ []string) {
 		c.verifying--
-		switch res.Outcome {
+		switch out {
 		case OK:
-			for _, id := range ids {
+			for _, id := range rest {
 				for _, req := range reqs[id] {
 					c.verified(req, id, stamps[id] > 0)
 				}
 			}
 		case Refused:
-			// What differs is read. The rest is compared again without it:
-			// a refusal need not name every key that differs.
-			var same []string
-			for _, id := range ids {
-				if !contains(res.Failed, "job/"+id) {
-					same = append(same, id)
-					continue
-				}
+			for _, id := range differ {
 				for _, req := range reqs[id] {
 					c.lookUp(req, id, func() { c.refuse(req, 404, 0, "no such job") })
 				}
 			}
-			if len(same) == len(ids) {
-				c.unverified(ids, reqs)
-			} else if len(same) > 0 {
-				c.verify(same, reqs)
+			if len(rest) > 0 {
+				c.verify(rest, reqs)
 			}
 		default:
 			c.unverified(ids, reqs)
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -24,7 +24,7 @@
 	return first
 }
 
-// oneController makes a day with one. A machine that gets no answer goes on
+// oneController makes a day with one controller. A machine that gets no answer goes on
 // to the next controller; here that is the same one, so its reports never stop.
 func oneController(t *testing.T, seed uint64, change func(*core.Config)) *World {
 	cfg := Settings()
