One word for machines that plans count on and for parts known now; no resets twice

The team's room is reckoned once a slice, fields that newPart has just made are not made again at a claim, and an unused field of the in-memory world goes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -299,8 +299,8 @@
 	c.wants.Requests += 0.2 * (2*c.wanted.Requests - c.wants.Requests)
 	c.wants.Changes += 0.2 * (2*c.wanted.Changes - c.wants.Changes)
 	c.wanted = Share{}
-	mine, sum := Share{c.wants.Requests + 1, c.wants.Changes + 1, 0}, Share{}
-	sum = mine
+	mine := Share{Requests: c.wants.Requests + 1, Changes: c.wants.Changes + 1}
+	sum := mine
 	for _, q := range c.peers {
 		if q.gossip != nil && c.now < q.gossipAt+3*time.Second {
 			sum.Requests += q.gossip.Wants.Requests + 1
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -106,6 +106,12 @@
 		h.session > 0 && h.token >= h.part.tenure && now < h.lastHeard+h.patience
 }
 
+// planned says whether the plans count on the host: it can take work now or is
+// on its way.
+func (h *host) planned(now time.Duration) bool {
+	return h.typ >= 0 && (h.usable(now) || h.state == booting)
+}
+
 // joining says whether a machine is up and about to show that it hears me.
 func (h *host) joining(now time.Duration) bool {
 	return h.state == up && h.session > 0 && h.token < h.part.tenure && h.recall == 0 && !h.failed && !h.mute && now < h.since+5*time.Second
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -46,7 +46,7 @@
 	most := 0
 	now := seconds(c.now)
 	for _, q := range c.parts {
-		if q == p || q.mine && !q.loaded || !q.mine && (q.view == nil || c.now > q.viewAt+1500*time.Millisecond) {
+		if q == p || !c.current(q) {
 			continue
 		}
 		var devices []*plan.Device
@@ -66,6 +66,15 @@
 	return best, min(most, n.tasks, 32)
 }
 
+// current says whether a part is known as it is now: by own knowledge, or by its
+// owner's word of a moment ago.
+func (c *Core) current(q *part) bool {
+	if q.mine {
+		return q.loaded
+	}
+	return q.view != nil && c.now <= q.viewAt+1500*time.Millisecond
+}
+
 // leastBusy is the part with the shortest queue for a job's tasks, of those whose
 // workers are heard. It takes in what waits in a dark part, room or not.
 func (c *Core) leastBusy(p *part, j *job) *part {
@@ -73,8 +82,7 @@
 	least := 0.0
 	typ := c.usualType(j)
 	for _, q := range c.parts {
-		if q == p || typ < 0 || c.darkFor(q) || q.mine && !q.loaded || !q.mine && (q.view == nil || c.now > q.viewAt+1500*time.Millisecond) ||
-			!c.zoneHolds(j, q) {
+		if q == p || typ < 0 || c.darkFor(q) || !c.current(q) || !c.zoneHolds(j, q) {
 			continue
 		}
 		if wait := c.queueFor(q, j.spec.Priority)[typ]; best == nil || wait < least {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -375,11 +375,8 @@
 	p.mine, p.known, p.offered = true, true, false
 	p.owner, p.stamp, p.token, p.freeSince = c.cfg.Label, revision, revision, 0
 	if !again {
-		p.tenure, p.loaded, p.loading, p.yielding = revision, false, false, false
-		p.fleetListed, p.freshStart, p.heardAt = false, false, c.now
-		p.hosts, p.slices, p.dirty = map[string]*host{}, map[string]*slice{}, map[string]*slice{}
-		p.order, p.toSend, p.slowSum, p.slowN = nil, nil, 0, 0
-		p.later = map[string]time.Duration{}
+		p.tenure = revision // all else of a part not owned is as newPart made it
+		p.heardAt = c.now
 		p.used = make([]Amount, len(c.limits))
 		p.committing = false
 		c.listAt = 0
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -194,7 +194,7 @@
 	held := make(map[[2]int]int)
 	ofType := make([]int, len(c.types))
 	for _, h := range p.hostList() {
-		if h.typ < 0 || !h.usable(c.now) && h.state != booting {
+		if !h.planned(c.now) {
 			continue
 		}
 		g := HostGroup{Type: c.types[h.typ].Name, Spot: h.spot, FetchAt: roughly(seconds(h.fetchEnd - c.now))}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -271,7 +271,7 @@
 func (c *Core) slotsOf(p *part) func(*job) float64 {
 	count := make([]float64, len(c.types)*2)
 	for _, h := range p.hostList() {
-		if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+		if h.planned(c.now) {
 			k := h.typ * 2
 			if h.spot {
 				k++
@@ -369,7 +369,7 @@
 	var all []device
 	var devices []*plan.Device
 	for _, h := range p.hostList() {
-		if h.typ >= 0 && (h.usable(c.now) || h.state == booting || h.joining(c.now)) {
+		if h.planned(c.now) || h.typ >= 0 && h.joining(c.now) {
 			d := c.hostDevice(h)
 			all, devices = append(all, d), append(devices, d.Device)
 		}
@@ -378,8 +378,9 @@
 	looks, tasks := len(devices), 0
 	for _, s := range ready {
 		j := s.job
-		waiting, quota := s.waiting.count(), c.roomFor(p, s)
-		if c.room(p, j.team, j.spec.Need) < waiting && c.quotas[j.team].known {
+		waiting, room := s.waiting.count(), c.room(p, j.team, j.spec.Need)
+		quota := c.roomFor(s, room)
+		if room < waiting && c.quotas[j.team].known {
 			c.wantGrants(s)
 		}
 		// Placed tasks are listed one by one in the slice's value.
@@ -517,7 +518,7 @@
 	if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
 		p.devices, p.devicesAt = nil, c.now
 		for _, h := range p.hostList() {
-			if h.typ >= 0 && (h.usable(c.now) || h.state == booting) {
+			if h.planned(c.now) {
 				p.devices = append(p.devices, c.hostDevice(h))
 			}
 		}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -47,13 +47,13 @@
 // each other in turn.
 const rankMargin = 5
 
-// roomFor is how many tasks of a slice the part may start now. What other parts
+// roomFor is how many tasks of a slice may start now where the team has room for
+// n. What other parts
 // asked for work that ranks higher is left to them as it becomes free: parts
 // whose own work never ends would otherwise hold a team's limit for ever, and
 // work in a part without a grant would never start.
-func (c *Core) roomFor(p *part, s *slice) int {
+func (c *Core) roomFor(s *slice, n int) int {
 	j := s.job
-	n := c.room(p, j.team, j.spec.Need)
 	if n == 0 || j.spec.Need.Cores <= 0 {
 		return n
 	}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -17,7 +17,6 @@
 	Told      core.Standing
 	Cancelled time.Duration // when the user was told, 0: not
 	AskedStop bool
-	DoneAt    time.Duration // when its last task completed
 	Came      time.Duration // when it was first submitted
 	Began     time.Duration // when its first task started, 0: not yet
 	Answered  time.Duration // when a question about it was last answered
