A controller that stood still draws its conclusions anew; sockets and slots by need

* A controller that stands still while its clock runs on (node_freeze) took all its machines for silent on waking and gave them back, also when another owned them by then; reports that had waited for it counted as answered, and the sessions after them made machines look mute.
Time in which nothing was read counts as no silence, and nothing is hired or returned until the lease is confirmed.
* A request nobody waits for any more is not carried out.
* Calls to workers had slots in common with calls to the state service: a zone of 512 machines that do not answer kept the lease from being renewed.
Greetings are paced.
* The lease is renewed without waiting for tokens.
* Sockets are divided by the settings; where they run short, workers report on a connection of their own each time.
* A job over more zones than a transaction has changes was never accepted.

--- a/cmd/roadcleat/root.go
+++ b/cmd/roadcleat/root.go
@@ -95,6 +95,11 @@
 		s.External.Cloud, d.Cloud.RPS, d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS); err != nil {
 		return err
 	}
+	for _, warning := range s.Warnings() {
+		if _, err := fmt.Fprintln(w, "warning:", warning); err != nil {
+			return err
+		}
+	}
 	for _, k := range config.Knobs() {
 		if _, err := fmt.Fprintf(w, "[%s] %s = %s\n", k.Section, k.Key, k.Value(o)); err != nil {
 			return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,8 +14,8 @@
 // Client sends orders straight to workers.
 type Client struct{ http *httpc.Client }
 
-// New makes a client.
-func New() *Client { return &Client{httpc.New("", 1)} }
+// New makes a client that keeps at most so many idle connections.
+func New(idle int) *Client { return &Client{httpc.New("", 1, idle)} }
 
 const timeout = 3 * time.Second
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -24,11 +24,12 @@
 	rt   *runtime.Runtime
 	seen *metrics.Set
 	log  *slog.Logger
+	open *limited
 }
 
 // New makes a server.
 func New(rt *runtime.Runtime, seen *metrics.Set, log *slog.Logger) *Server {
-	return &Server{rt, seen, log}
+	return &Server{rt: rt, seen: seen, log: log}
 }
 
 // userWait is how long a user's request may take: less than its sender waits.
@@ -53,13 +54,16 @@
 }
 
 // Serve answers on the listener until the context ends, on at most conns
-// connections at a time.
-func (s *Server) Serve(ctx context.Context, ln net.Listener, conns int) error {
+// connections at a time. One on which nothing comes for several times the workers'
+// report interval is closed: a cut may have left it half open, and hundreds of
+// those would leave no room when the cut ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener, conns int, report time.Duration) error {
+	s.open = &limited{Listener: ln, slots: make(chan struct{}, conns)}
 	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
-		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
+		IdleTimeout: max(5*report, 20*time.Second), MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
-	if err := srv.Serve(&limited{Listener: ln, slots: make(chan struct{}, conns)}); err != http.ErrServerClosed {
+	if err := srv.Serve(s.open); err != http.ErrServerClosed {
 		return err
 	}
 	return nil
@@ -87,6 +91,11 @@
 	}
 }
 
+// tight says whether workers should not keep their connections: one controller may
+// have to hear more workers than it has sockets, and users and health checks need
+// theirs whatever the workers do.
+func (l *limited) tight() bool { return l != nil && len(l.slots) > cap(l.slots)*2/3 }
+
 type limitedConn struct {
 	net.Conn
 	slots chan struct{}
@@ -195,6 +204,9 @@
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
 	}
+	if s.open.tight() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Content-Type", "application/json")
 	switch ans.Status {
 	case http.StatusOK:
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -25,7 +25,7 @@
 // New makes a client of a cloud that takes so many calls a second from all
 // controllers together. It starts with the share given.
 func New(addr string, calls, share float64) *Client {
-	c := &Client{http: httpc.New(addr, 6), tokens: rate.NewLimiter(0, 1), calls: calls}
+	c := &Client{http: httpc.New(addr, 6, 6), tokens: rate.NewLimiter(0, 1), calls: calls}
 	c.Share(share)
 	return c
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,7 @@
 	quotas []*quota // by team
 	limits []Team   // by team
 
+	wokeAt        time.Duration // when it last went on after it had stood still, 0: never
 	deafUntil     time.Duration
 	cloudOK       time.Duration // when the cloud last answered a listing
 	cloudBadSince time.Duration
@@ -112,6 +113,7 @@
 	kinds         []classKinds // by class
 	tickAt        time.Duration
 	timers        []timer
+	greets        int // calls to workers under way that make this owner known
 	share         Share
 	shareAt       time.Duration
 	wanted, wants Share // calls made since shareAt, and by the second of late
@@ -171,9 +173,7 @@
 // Handle feeds one event at the given time and returns what is to be done.
 // The slice is valid until the next call.
 func (c *Core) Handle(now time.Duration, event any) []any {
-	if now > c.now {
-		c.now = now
-	}
+	c.pass(now)
 	c.out = c.out[:0]
 	switch e := event.(type) {
 	case Tick:
@@ -199,9 +199,7 @@
 // Settle does the work that is due after a batch of events: leases, views,
 // plans and commits. The slice is valid until the next call.
 func (c *Core) Settle(now time.Duration) []any {
-	if now > c.now {
-		c.now = now
-	}
+	c.pass(now)
 	c.out = c.out[:0]
 	c.flushSubmissions()
 	c.flushPolls()
@@ -226,6 +224,54 @@
 	return c.out
 }
 
+// stoodStill is the gap between two looks at the world, which come every few
+// hundredths of a second, that can only mean that the process did not run.
+const stoodStill = time.Second
+
+// pass lets time pass.
+func (c *Core) pass(now time.Duration) {
+	if now <= c.now {
+		return
+	}
+	gap := now - c.now
+	first := c.now == 0
+	c.now = now
+	if !first && gap > stoodStill {
+		c.woke(gap)
+	}
+}
+
+// woke draws conclusions from time that has passed anew: while this controller
+// stood still its clock ran on, but it read nothing. Nobody was silent to it in
+// that time, no machine overdue and none idle. What rests on what others did
+// meanwhile needs no word here: leases of workers run out by their own clocks, and
+// whoever took a part has changed the keys that guard every transaction.
+func (c *Core) woke(gap time.Duration) {
+	c.wokeAt = c.now
+	c.note(2, "stood still", "for", seconds(gap))
+	for _, p := range c.parts {
+		if !p.mine {
+			continue
+		}
+		p.heardAt += gap
+		p.homeUp = 0
+		for i := range p.demand {
+			p.demand[i].at += gap
+		}
+		for _, h := range p.hosts {
+			h.unread += gap
+			h.unheard = 0 // calls that it never read the answers of prove nothing
+			h.giveUp += gap
+			h.idleSince += gap
+		}
+	}
+}
+
+// sure says whether the state service has confirmed this controller's lease
+// since it last stood still. Before that its parts may long be others', and it
+// neither returns nor hires machines for them.
+func (c *Core) sure() bool { return c.leaseSent >= c.wokeAt }
+
 func (c *Core) emit(e any) { c.out = append(c.out, e) }
 
 func (c *Core) note(level int, text string, args ...any) {
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -28,7 +28,7 @@
 // once, room for what the recent past suggests, idle ones back when neither
 // needs them.
 func (c *Core) size(p *part) {
-	if len(c.types) == 0 || p.yielding {
+	if len(c.types) == 0 || p.yielding || !c.sure() {
 		return
 	}
 	c.pushHires(p)
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -34,6 +34,7 @@
 	token        uint64 // highest the worker is known to have seen
 	acked        time.Duration
 	lastHeard    time.Duration
+	unread       time.Duration // how long since then this controller stood still and heard nobody
 	lastAnswer   time.Duration
 	expired      bool // its lease has run out for certain
 	unheard      int  // calls to it without an answer, each after a fresh report
@@ -56,6 +57,7 @@
 	busy     bool                 // an /orders call is open
 	greetAt  time.Duration
 	greeting bool
+	greeted  int // in vain, in a row
 	returnAt time.Duration
 
 	ran, held float64 // core seconds of running tasks, and of tasks that wait for their image
@@ -355,7 +357,8 @@
 		return
 	}
 	h.beatSeq = rep.Seq
-	h.lastHeard, h.lastAnswer, h.expired = c.now, c.now, false
+	h.lastAnswer, h.expired = c.now, false
+	c.heardOf(h)
 	c.greet(p, h)
 	c.emit(BeatReply{Req: e.Req, Status: 200, Token: p.token, Orders: c.ordersFor(p, h)})
 }
@@ -444,6 +447,11 @@
 // session has run out, so a worker that lives has begun a new one.
 func (h *host) stale(rep *Report) bool { return h.expired && rep.Session <= h.session }
 
+func (c *Core) heardOf(h *host) { h.lastHeard, h.unread = c.now, 0 }
+
+// silence is how long nothing came from the host while this controller listened.
+func (c *Core) silence(h *host) time.Duration { return c.now - h.lastHeard - h.unread }
+
 // absorb takes in a worker's report, however it came.
 func (c *Core) absorb(p *part, h *host, rep *Report, own bool) {
 	for _, r := range rep.Tasks {
@@ -471,7 +479,7 @@
 		c.newSession(p, h, rep.Session)
 	}
 	h.session, h.seq = rep.Session, rep.Seq
-	h.lastHeard = c.now
+	c.heardOf(h)
 	if p.heardAt = c.now; p.wasDark {
 		p.wasDark = false
 		c.note(1, "part heard again", "part", p.name, "token", p.token)
@@ -540,9 +548,11 @@
 		return
 	}
 	c.note(1, "host has a new session", "host", h.name, "part", p.name, "session", session)
-	if h.acked > 0 && h.lastAnswer > 0 && c.now < h.lastAnswer+c.cfg.Lease {
+	if h.acked > 0 && h.lastAnswer > 0 && c.now < h.lastAnswer+c.cfg.Lease && (c.wokeAt == 0 || c.now > c.wokeAt+c.cfg.Lease) {
 		// A report was answered within the lease, and yet it ran out: the
-		// answer did not arrive. That one was sent proves nothing.
+		// answer did not arrive. That one was sent proves nothing. Not so after
+		// this controller stood still: it then answers reports that had waited
+		// for it and that their workers had given up, of all machines of a part.
 		c.muted(p, h, "its lease ran out though it was answered")
 	}
 	if p.loaded {
@@ -796,14 +806,28 @@
 	})
 }
 
+// A new owner greets so many workers at a time, so that orders to others find
+// sockets and a zone of machines that do not answer costs little. Each that does
+// not answer is tried less and less often; its report will tell when it is back.
+const (
+	greetsAtOnce = 64
+	greetAgain   = 2 * time.Second
+	greetSlowest = 3 // doublings
+)
+
 // greet makes a worker known to its new owner: an empty order with the new
 // token, so that it drops what a stale owner says and shows that it hears me.
 // A worker that has not reported yet is asked for its session first.
 func (c *Core) greet(p *part, h *host) {
-	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning {
+	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning || c.greets >= greetsAtOnce {
 		return
 	}
-	h.greeting, h.greetAt = true, c.now+2*time.Second
+	c.greets++
+	h.greeting, h.greetAt = true, c.now+greetAgain<<min(h.greeted, greetSlowest)
+	over := func() {
+		c.greets--
+		h.greeting = false
+	}
 	tenure, token := p.tenure, p.token
 	hear := func(r any) bool {
 		if !p.mine || p.tenure != tenure {
@@ -812,14 +836,16 @@
 		res := r.(WorkerResult)
 		heard := res.Report != nil && res.Report.Host == h.name
 		c.answered(p, h, heard)
+		h.greeted++
 		if heard {
+			h.greeted = 0
 			c.absorb(p, h, res.Report, false)
 		}
 		return heard && p.mine && p.tenure == tenure
 	}
 	order := func() {
 		c.call(OrdersOp{h.addr, token, h.session, nil}, func(r any) {
-			h.greeting = false
+			over()
 			hear(r)
 		})
 	}
@@ -831,7 +857,7 @@
 		if hear(r) {
 			order()
 		} else {
-			h.greeting = false
+			over()
 		}
 	})
 }
@@ -843,6 +869,7 @@
 		if !p.mine || p.yielding {
 			continue
 		}
+		sure := c.sure()
 		for name, at := range p.gone {
 			if c.now > at+4*c.cfg.ListLag+2*time.Minute {
 				delete(p.gone, name)
@@ -858,7 +885,7 @@
 		for _, h := range p.hostList() {
 			if h.state == up && !h.expired {
 				alive++
-				if c.now > h.lastHeard+c.cfg.Report*2 || h.mute {
+				if c.silence(h) > c.cfg.Report*2 || h.mute {
 					silent++
 				}
 			}
@@ -872,7 +899,7 @@
 			if h.state == up {
 				c.checkLease(p, h)
 			}
-			if why := c.wantBack(p, h, deaf); why != "" {
+			if why := c.wantBack(p, h, deaf); why != "" && sure {
 				c.note(1, "host not wanted", "host", h.name, "part", p.name, "why", why, "tasks", len(h.tasks))
 				back = append(back, h)
 			}
@@ -913,7 +940,7 @@
 			return "return to be confirmed"
 		}
 	case up:
-		silent := c.now - h.lastHeard
+		silent := c.silence(h)
 		if h.recall > 0 {
 			if len(h.tasks) == 0 || c.now > h.recall+2*time.Second && silent > 3*time.Second {
 				return "recalled"
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -536,7 +536,7 @@
 	for _, h := range p.hostList() {
 		if h.state == up {
 			workers++
-			if c.now < h.lastHeard+8*time.Second {
+			if c.silence(h) < 8*time.Second {
 				return nil
 			}
 		}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -617,6 +617,7 @@
 			together(counts)
 		}
 	}
+	fewParts(counts, c.cfg.TxnOps-1)
 	split := map[string]ranges{}
 	at := 0
 	for z, n := range counts {
@@ -645,6 +646,28 @@
 	counts[best] = sum
 }
 
+// fewParts leaves tasks in at most so many parts: a job and its slices come into
+// being in one transaction. The parts with the fewest tasks give them to those of
+// the others that have the fewest, so that tasks that must be apart stay so.
+func fewParts(counts []int, most int) {
+	var used []int
+	for z, n := range counts {
+		if n > 0 {
+			used = append(used, z)
+		}
+	}
+	if len(used) <= most {
+		return
+	}
+	slices.SortStableFunc(used, func(a, b int) int { return cmp.Compare(counts[b], counts[a]) })
+	kept := used[:most]
+	for _, z := range used[most:] {
+		for ; counts[z] > 0; counts[z]-- {
+			counts[slices.MinFunc(kept, func(a, b int) int { return cmp.Compare(counts[a], counts[b]) })]++
+		}
+	}
+}
+
 // zoneHolds says whether the zone has a machine type that the job allows.
 func (c *Core) zoneHolds(j *job, p *part) bool {
 	for t := range c.types {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -585,7 +585,9 @@
 					all = false
 				} else {
 					w.txn.Guards = append(w.txn.Guards, Guard{key, r.Item.Stamp})
-					w.txn.Apply = append(w.txn.Apply, Set{Key: key})
+					if len(w.txn.Apply) < c.cfg.TxnOps { // the rest is dropped by its owners
+						w.txn.Apply = append(w.txn.Apply, Set{Key: key})
+					}
 				}
 				if left > 0 || !all || !p.mine || p.token != token || p.slices[id] != s || s.job.standing != Pending {
 					return
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -458,3 +458,80 @@
 	sort.Strings(names)
 	return names
 }
+
+// returned counts the machines that were given back.
+func returned(w *World) int {
+	n := 0
+	for _, k := range w.Workers {
+		if k.deleted {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAControllerThatStoodStillUntilAnotherTookItsPartDoesNoHarm(t *testing.T) {
+	// Its clock ran on: every machine seemed silent for longer than any lease and
+	// every idle one long idle, and it gave all of another owner's machines back.
+	cfg := Settings()
+	cfg.Lease, cfg.Cancel = 36*time.Second, 66*time.Second
+	w := New(43, cfg)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Run(3 * time.Second)
+	s := spec("job-1", "red", 6, 2)
+	s.Zone = "a"
+	job := w.Submit(s, 150*time.Second)
+	require.True(t, w.Until(40*time.Second, started(w, "job-1", 6)))
+	w.Run(5 * time.Second) // the others hear of it
+	starts := w.Referee.Starts
+	w.Nodes[0].Freeze(w.Cfg.Lease + 40*time.Second)
+	w.Run(w.Cfg.Lease + 39*time.Second)
+	owner := 0
+	for i, n := range w.Nodes[1:] {
+		for _, p := range n.Core.Status().Parts {
+			if p.Zone == "a" && p.Here {
+				owner = i + 1
+			}
+		}
+	}
+	require.Positive(t, owner, "another controller has taken the part")
+	before := returned(w)
+	w.Run(10 * time.Second)
+	assert.Equal(t, before, returned(w), "waking up returns nobody's machines")
+	ends(t, w, job, 2*time.Minute)
+	assert.Equal(t, starts, w.Referee.Starts, "nothing had to run again")
+}
+
+func TestAControllerThatStoodStillAlongWithItsPartKeepsTheMachines(t *testing.T) {
+	// Nobody else could answer the workers, so their leases did run out. Reports
+	// that had waited and that their workers had given up seemed to be answered on
+	// waking; the sessions after them then made every machine look mute.
+	w := oneController(t, 44, nil)
+	job := w.Submit(spec("job-1", "red", 8, 4), 30*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 8)))
+	for _, d := range []time.Duration{4 * time.Second, w.Cfg.Lease / 2, w.Cfg.Lease + 8*time.Second, w.Cfg.Lease + 40*time.Second} {
+		before := returned(w)
+		w.Nodes[0].Freeze(d)
+		w.Run(d + 8*time.Second)
+		assert.Equal(t, before, returned(w), "no machine was silent or deaf: %v", d)
+	}
+	ends(t, w, job, 2*time.Minute)
+}
+
+func TestAJobOfManyZonesFitsATransaction(t *testing.T) {
+	cfg := Settings()
+	cfg.Zones, cfg.TxnOps = nil, 4
+	for i := range 9 {
+		cfg.Zones = append(cfg.Zones, fmt.Sprintf("z%d", i))
+	}
+	w := New(45, cfg)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Run(6 * time.Second)
+	wide := spec("job-1", "red", 64, 16)
+	apart := spec("job-2", "red", 64, 16)
+	apart.Apart = true
+	jobs := []*Job{w.Submit(wide, 5*time.Second), w.Submit(apart, 5*time.Second)}
+	for _, j := range jobs {
+		ends(t, w, j, 6*time.Minute)
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -209,8 +209,10 @@
 	zone string
 	life int
 	up   bool
-	reqs uint64
-	wait map[uint64]func(any)
+	// It stands still until then: its clock runs on, and what comes waits for it.
+	frozen time.Duration
+	reqs   uint64
+	wait   map[uint64]func(any)
 
 	share    core.Share
 	nextCall time.Duration
@@ -221,7 +223,7 @@
 	if n.up {
 		return
 	}
-	n.up = true
+	n.up, n.frozen = true, 0
 	n.life++
 	cfg := n.w.Cfg
 	cfg.Label, cfg.Zone, cfg.Boot, cfg.Seed = n.Name, n.zone, uint64(n.life), uint64(len(n.Name))
@@ -255,9 +257,37 @@
 	n.w.After(after, n.Start)
 }
 
-func (n *Node) settle() { n.carryOut(n.Core.Settle(n.w.Now)) }
+// Freeze has the process stand still for a while.
+func (n *Node) Freeze(d time.Duration) {
+	n.w.trouble(d)
+	n.w.Log("%v freeze %s for %v", n.w.Now, n.Name, d)
+	n.frozen = n.w.Now + d
+	n.w.After(d, n.settle) // what is due comes before what waits, as it may
+}
+
+// thawed runs f in this life of the process: at once, or when it goes on.
+func (n *Node) thawed(f func()) {
+	if n.w.Now >= n.frozen {
+		f()
+		return
+	}
+	life := n.life
+	n.w.After(n.frozen-n.w.Now, func() {
+		if n.up && n.life == life {
+			n.thawed(f)
+		}
+	})
+}
+
+func (n *Node) settle() {
+	if n.w.Now >= n.frozen {
+		n.carryOut(n.Core.Settle(n.w.Now))
+	}
+}
+
+func (n *Node) handle(ev any) { n.thawed(func() { n.take(ev) }) }
 
-func (n *Node) handle(ev any) {
+func (n *Node) take(ev any) {
 	n.carryOut(n.Core.Handle(n.w.Now, ev))
 	n.settle()
 }
@@ -340,7 +370,7 @@
 		}
 	}
 	store := func(timeout time.Duration, unknown any, exec func(func(any))) {
-		n.admit(func() { w.rpc(n.Name, "state", timeout, unknown, exec, done) }, func() { done(notSent(unknown)) })
+		n.admit(func() { n.thawed(func() { w.rpc(n.Name, "state", timeout, unknown, exec, done) }) }, func() { done(notSent(unknown)) })
 	}
 	switch op := c.Op.(type) {
 	case core.CommitOp:
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -23,9 +23,9 @@
 	http *http.Client
 }
 
-// New makes a client with at most conns connections to a host. With an empty
-// address, paths are whole URLs.
-func New(addr string, conns int) *Client {
+// New makes a client with at most conns connections to a host, and at most idle
+// ones to all. With an empty address, paths are whole URLs.
+func New(addr string, conns, idle int) *Client {
 	base := ""
 	if addr != "" {
 		base = "http://" + addr
@@ -40,7 +40,7 @@
 				}
 				return conn, nil
 			},
-			MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, MaxIdleConns: 256,
+			MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, MaxIdleConns: idle,
 			IdleConnTimeout: 60 * time.Second, DisableCompression: true,
 			ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 		},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,7 +19,7 @@
 
 const (
 	queueLen   = 64
-	maxConns   = 16
+	connsEach  = 4 // from each other controller: one that counts, and ones that a cut has left open
 	maxMessage = 4 << 20
 	ioTimeout  = 4 * time.Second
 	idleLimit  = 10 * time.Second
@@ -134,7 +134,7 @@
 
 // Serve takes connections of other controllers and hands on their messages.
 func Serve(ctx context.Context, ln net.Listener, labels []string, deliver func(from int, m core.Message), log *slog.Logger) {
-	slots := make(chan struct{}, maxConns)
+	slots := make(chan struct{}, connsEach*len(labels))
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	for {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -25,12 +25,13 @@
 const (
 	queueLen  = 1024
 	batchLen  = 64
-	maxCalls  = 512 // calls open at a time; those to workers are the most
+	maxCalls  = 256 // calls to the state service and the cloud open at a time
 	tickEvery = 50 * time.Millisecond
 )
 
 // command is an event, a question to the core, or both.
 type command struct {
+	ctx   context.Context // of whoever waits for the reply
 	event any
 	ask   func(*core.Core)
 	reply chan any
@@ -50,14 +51,16 @@
 	start   time.Time
 	reqs    uint64
 	waiting map[uint64]chan any
-	slots   chan struct{}
+	// Calls to workers have slots of their own: a zone of machines that do not
+	// answer would otherwise keep the lease from being renewed.
+	calls, workerCalls chan struct{}
 }
 
-// New makes a runtime.
-func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, links []*peer.Link, seen *metrics.Set, log *slog.Logger) *Runtime {
+// New makes a runtime that has at most workerCalls calls to workers open.
+func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, workerCalls int, links []*peer.Link, seen *metrics.Set, log *slog.Logger) *Runtime {
 	return &Runtime{core: c, state: st, cloud: cl, agent: ag, links: links, log: log, seen: seen,
 		queue: make(chan command, queueLen), start: time.Now(), waiting: map[uint64]chan any{},
-		slots: make(chan struct{}, maxCalls)}
+		calls: make(chan struct{}, maxCalls), workerCalls: make(chan struct{}, workerCalls)}
 }
 
 // Run works through the queue until the context ends.
@@ -98,6 +101,12 @@
 }
 
 func (r *Runtime) take(ctx context.Context, cmd command) {
+	if cmd.ctx != nil && cmd.ctx.Err() != nil {
+		// Nobody waits any more: it came while this process was behind or stood
+		// still. Carried out now, its answer would count as given: a machine whose
+		// report it is would seem to hear nothing.
+		return
+	}
 	if cmd.ask != nil {
 		cmd.ask(r.core)
 		close(cmd.reply)
@@ -157,7 +166,12 @@
 
 // call makes a call to the outside and hands its result back to the owner.
 func (r *Runtime) call(ctx context.Context, c core.Call) {
-	r.slots <- struct{}{}
+	slots := r.calls
+	switch c.Op.(type) {
+	case core.OrdersOp, core.ShowOp:
+		slots = r.workerCalls
+	}
+	slots <- struct{}{}
 	var res any
 	switch op := c.Op.(type) {
 	case core.CommitOp:
@@ -185,7 +199,7 @@
 	case core.ShowOp:
 		res = r.agent.Show(ctx, op.Addr)
 	}
-	<-r.slots
+	<-slots
 	r.seen.Call(c.Op, res)
 	select {
 	case r.queue <- command{event: core.Answer{ID: c.ID, Result: res}}:
@@ -196,7 +210,7 @@
 // Do hands an event to the core and waits for its answer. It fails at once
 // when too much is waiting already.
 func (r *Runtime) Do(ctx context.Context, event any) (any, error) {
-	cmd := command{event: event, reply: make(chan any, 1)}
+	cmd := command{ctx: ctx, event: event, reply: make(chan any, 1)}
 	select {
 	case r.queue <- cmd:
 	default:
@@ -212,7 +226,7 @@
 
 // Ask runs f on the owner goroutine and waits for it.
 func (r *Runtime) Ask(ctx context.Context, f func(*core.Core)) error {
-	cmd := command{ask: f, reply: make(chan any)}
+	cmd := command{ctx: ctx, ask: f, reply: make(chan any)}
 	select {
 	case r.queue <- cmd:
 	default:
--- /dev/null
+++ b/internal/runtime/runtime_test.go
@@ -0,0 +1,59 @@
+package runtime
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"roadcleat/internal/agent"
+	"roadcleat/internal/cloud"
+	"roadcleat/internal/core"
+	"roadcleat/internal/metrics"
+	"roadcleat/internal/state"
+)
+
+func newRuntime(workerCalls int) *Runtime {
+	const nobody = "127.0.0.1:1"
+	return New(core.New(core.Config{Label: "n0", Zone: "a", Zones: []string{"a"}}), state.New(nobody, 100, 50, 12, 1),
+		cloud.New(nobody, 5, 1), agent.New(workerCalls), workerCalls, nil, metrics.New(),
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func TestWhatNobodyWaitsForAnyMoreIsNotCarriedOut(t *testing.T) {
+	// A report that had waited too long counted as answered, so that its worker's
+	// next session looked like the mark of a machine that hears nothing.
+	r := newRuntime(4)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	beat := command{event: core.Beat{Report: core.Report{Host: "vm-1", Zone: "a"}}, reply: make(chan any, 1)}
+	beat.ctx = ctx
+	r.take(context.Background(), beat)
+	assert.Empty(t, beat.reply)
+	assert.Zero(t, r.reqs, "the core has not seen it")
+	beat.ctx = context.Background()
+	r.take(context.Background(), beat)
+	assert.Len(t, beat.reply, 1)
+}
+
+func TestWorkersThatDoNotAnswerKeepNoCallToTheStateServiceWaiting(t *testing.T) {
+	// Hundreds of machines behind a cut took all slots, the lease was not renewed
+	// and the part lost.
+	r := newRuntime(1)
+	r.workerCalls <- struct{}{} // a call that hangs
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.call(ctx, core.Call{ID: 1, Op: core.ShowOp{Addr: "127.0.0.1:1"}})
+	go r.call(ctx, core.Call{ID: 2, Op: core.RenewOp{Lease: 7}})
+	select {
+	case cmd := <-r.queue:
+		assert.Equal(t, uint64(2), cmd.event.(core.Answer).ID)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the renewal waits for a worker")
+	}
+	<-r.workerCalls
+	assert.Equal(t, uint64(1), (<-r.queue).event.(core.Answer).ID, "the other goes on when there is room")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -34,6 +34,9 @@
 	limitProcess(s)
 	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
 
+	for _, w := range s.Warnings() {
+		log.Warn("settings", "field", w)
+	}
 	apiLn, err := net.Listen("tcp", s.APIAddr)
 	if err != nil {
 		return fmt.Errorf("api_addr: %w", err)
@@ -56,22 +59,34 @@
 		labels = append(labels, other.Label)
 	}
 	seen := metrics.New()
-	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(), links, seen, log)
+	b := socketsFor(s)
+	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(b.workers), b.workers, links, seen, log)
 	for _, l := range links {
 		go l.Run(ctx)
 	}
 	go peer.Serve(ctx, peerLn, labels, r.Deliver, log)
 	go r.Run(ctx)
 	log.Info("controller started", "label", s.Label, "zone", s.Location)
-	return api.New(r, seen, log).Serve(ctx, apiLn, userConns(s))
+	return api.New(r, seen, log).Serve(ctx, apiLn, b.served, duration(d.Workers.ReportS))
+}
+
+// sockets is how the sockets that this controller may have are divided.
+type sockets struct {
+	served  int // users, workers, health checks
+	workers int // calls to workers
 }
 
-// userConns leaves sockets for calls to the outside.
-func userConns(s *config.Settings) int {
-	if s.Deployment.Resources.FDLimit <= 0 {
-		return 1000
+// socketsFor divides them: some for the state service, the cloud, the other
+// controllers and what is just being closed, a fifth of the rest for calls to
+// workers, the remainder to those who call.
+func socketsFor(s *config.Settings) sockets {
+	all := s.Deployment.Resources.FDLimit
+	if all <= 0 {
+		all = 4096
 	}
-	return max(s.Deployment.Resources.FDLimit*2/3, 16)
+	rest := all - min(64+8*len(s.Others), all/3)
+	workers := min(max(rest/5, 4), 512)
+	return sockets{served: rest - workers, workers: workers}
 }
 
 // limitProcess keeps the process within its machine.
@@ -96,10 +111,12 @@
 	return slog.LevelError
 }
 
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
 // CoreConfig turns the settings into the core's terms.
 func CoreConfig(s *config.Settings, o *config.Operator, boot uint64) core.Config {
 	d := &s.Deployment
-	sec := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+	sec := duration
 	cfg := core.Config{
 		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,8 +32,8 @@
 // starts with the share given.
 func New(addr string, requests, changes float64, txnOps int, share float64) *Client {
 	c := &Client{
-		http:        httpc.New(addr, 24),
-		follow:      httpc.New(addr, 4),
+		http:        httpc.New(addr, 24, 24),
+		follow:      httpc.New(addr, 4, 4),
 		requests:    rate.NewLimiter(0, 1),
 		changes:     rate.NewLimiter(0, 1),
 		allRequests: requests, allChanges: changes, txnOps: txnOps,
@@ -183,11 +183,14 @@
 	return core.FollowResult{Outcome: core.OK, Ledger: ledger, News: news}
 }
 
+// charge takes a request's token without waiting for it. What keeps a controller
+// in office is too little to overdraw the budget, and behind everything else that
+// a part's loading or a crowd of users asks for, the lease would run out.
+func (c *Client) charge() { c.requests.Reserve() }
+
 // Hold asks for a lease.
 func (c *Client) Hold(ctx context.Context, op core.HoldOp) core.HoldResult {
-	if !c.admit(ctx, true) {
-		return core.HoldResult{Outcome: core.NotSent}
-	}
+	c.charge()
 	r := c.http.Do(ctx, timeout, http.MethodPost, "/holds", wire.EncodeHold(op.Life.Milliseconds()))
 	if reply := wire.DecodeTxnReply(r.Body); r.Err == nil && r.Status == 200 && reply.Tenure > 0 {
 		return core.HoldResult{Outcome: core.OK, Lease: reply.Tenure}
@@ -197,9 +200,7 @@
 
 // Renew renews a lease.
 func (c *Client) Renew(ctx context.Context, op core.RenewOp) core.RenewResult {
-	if !c.admit(ctx, true) {
-		return core.RenewResult{Outcome: core.NotSent}
-	}
+	c.charge()
 	r := c.http.Do(ctx, timeout, http.MethodPost, fmt.Sprintf("/holds/%d/renew", op.Lease), nil)
 	switch {
 	case r.Err == nil && r.Status == 200:
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -32,3 +32,18 @@
 	res = c.Commit(ctx, core.CommitOp{Txn: txn(48), Urgent: true, Spare: true})
 	assert.Equal(t, core.NotSent, res.Outcome, "what would wait too long is not sent")
 }
+
+func TestTheLeaseIsRenewedWhileEverythingElseWaitsForTokens(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{}`))
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), 4, 4, 12, 1)
+	c.requests.ReserveN(time.Now(), c.requests.Burst()) // used up, and more is waiting
+	c.requests.ReserveN(time.Now(), c.requests.Burst())
+	ctx := context.Background()
+	assert.Equal(t, core.NotSent, c.Read(ctx, core.ReadOp{Key: "job/1", Urgent: true}).Outcome)
+	start := time.Now()
+	assert.Equal(t, core.OK, c.Renew(ctx, core.RenewOp{Lease: 7}).Outcome)
+	assert.Less(t, time.Since(start), time.Second)
+}
