--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -128,6 +128,9 @@
 		}
 		return true, time.Duration(r.IntN(8000)) * time.Millisecond
 	}
+	if seed%3 == 0 { // whoever is away for a while can't follow any more
+		w.Store.Keep = 20
+	}
 	if seed%2 == 0 { // late copies of reports, and requests carried out again
 		w.Copies = func(*Worker) []time.Duration {
 			if w.Now > 4*time.Minute || r.IntN(10) > 0 {
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -22,6 +22,9 @@
 	// RPS, if set, is how many requests a second it takes from all controllers;
 	// each keeps to its share, as the real client does.
 	RPS float64
+	// Keep, if set, is how many changes it keeps for those who follow.
+	Keep int
+	lost uint64 // the newest change that it keeps no more
 
 	down    time.Duration            // refuses everybody until then
 	refused map[string]time.Duration // refuses one controller until then
@@ -113,6 +116,10 @@
 		s.rows[key] = row{value, s.ledger, lease}
 	}
 	s.history = append(s.history, core.Item{Key: key, Value: value, Stamp: s.ledger})
+	if n := len(s.history); s.Keep > 0 && n > s.Keep {
+		s.lost = s.history[n-s.Keep-1].Stamp
+		s.history = s.history[n-s.Keep:]
+	}
 }
 
 // serve answers open watches that have something to say.
@@ -123,6 +130,10 @@
 			left = append(left, x)
 			continue
 		}
+		if x.op.After < s.lost {
+			x.answer(core.FollowResult{Outcome: core.Refused})
+			continue
+		}
 		var news []core.Item
 		for _, h := range s.history {
 			if h.Stamp > x.op.After && strings.HasPrefix(h.Key, x.op.Prefix) {
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -535,3 +535,47 @@
 		ends(t, w, j, 6*time.Minute)
 	}
 }
+
+func TestWithdrawalsAreKnownBeforeWorkGoesOnWhenTheStoreKeepsNoChangesOfThen(t *testing.T) {
+	// All controllers miss more changes than the store keeps, and nobody asks for
+	// the job that was withdrawn meanwhile.
+	w := day(t, 46)
+	w.Store.Keep = 3
+	var jobs []*Job
+	submit := func(n int, run time.Duration) *Job {
+		s := spec(fmt.Sprintf("job-%d", n), "red", 4, 2)
+		s.Zone = "a"
+		jobs = append(jobs, w.Submit(s, run))
+		return jobs[len(jobs)-1]
+	}
+	withdrawn := submit(1, 10*time.Minute)
+	submit(2, 20*time.Second)
+	require.True(t, w.Until(40*time.Second, started(w, "job-1", 4)))
+	for _, n := range w.Nodes {
+		w.Cut(n.Name, "state", 5*time.Second, false) // shorter than its lease
+		w.Cut("users", n.Name, time.Minute, false)
+	}
+	// Somebody else changes keys; a controller that ended right after it had
+	// carried out the withdrawal is one such.
+	r := w.Store.rows["job/job-1"]
+	v := strings.Replace(string(r.value), "{", `{"st":"withdrawn",`, 1)
+	w.After(time.Second, func() {
+		r := w.Store.rows["job/job-1"]
+		w.Store.apply(core.Txn{Guards: []core.Guard{{Key: "job/job-1", Stamp: r.stamp}}, Apply: []core.Set{{Key: "job/job-1", Value: []byte(v)}}})
+		for i := range 8 {
+			w.Store.apply(core.Txn{Apply: []core.Set{{Key: fmt.Sprintf("other/%d", i), Value: []byte("1")}}})
+		}
+	})
+	withdrawn.Cancelled, withdrawn.AskedStop = w.Now+time.Second, true
+	w.Run(6 * time.Second)
+	gone := func() bool { return len(w.On("job-1")) == 0 }
+	assert.True(t, w.Until(10*time.Second, gone), "what is withdrawn is stopped")
+	seen := 0
+	for end := w.Now + 40*time.Second; w.Now < end; w.Run(200 * time.Millisecond) {
+		seen += len(w.On("job-1"))
+	}
+	assert.Zero(t, seen, "and starts no more")
+	for _, j := range jobs {
+		ends(t, w, j, 5*time.Minute)
+	}
+}
