Waiting tasks move to a part that can still hire cheap machines

Before a young job of a large part has dear machines hired, its tasks now move to the part with the shortest queue that can still hire spot machines, as they already move to parts with room.

--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -74,6 +74,7 @@
 			c.note(2, "part is dark: none of its workers is heard here", "part", p.name, "token", p.token)
 		}
 	}
+	clear(p.export)
 	if may {
 		for _, n := range p.shortage {
 			c.hireFor(p, n, coming)
@@ -281,6 +282,12 @@
 			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
 				return
 			}
+			if movable(n.job) {
+				if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil {
+					p.export[n.job.id] = export{q, int(math.Ceil(short))}
+					return
+				}
+			}
 		}
 		want := short / float64(k)
 		count := min(int(math.Ceil(want-0.01)), 50)
@@ -291,6 +298,36 @@
 	}
 }
 
+// export is work to be handed to another part, which hires spot machines for it.
+type export struct {
+	to    *part
+	tasks int
+}
+
+// spotElsewhere names the part that can hire spot machines of the types given where
+// this one would have to take dear ones: the one with the shortest queue, if that is over
+// when such a machine is up. Parts are not alike in what they can hire, and jobs go
+// where machines are free already, so one was short of machines while others'
+// cheap ones were never rented.
+func (c *Core) spotElsewhere(p *part, types uint64, priority int) *part {
+	var best *part
+	least := 0.0
+	for _, q := range c.parts {
+		if q == p || !c.current(q) || c.darkFor(q) {
+			continue
+		}
+		for t := range c.types {
+			if types&(1<<t) == 0 || !contains(c.types[t].Zones, q.name) || c.isScarce(q, Offer{c.types[t].Name, true}) {
+				continue
+			}
+			if wait := c.queueFor(q, priority)[t]; wait < c.types[t].BootS && (best == nil || wait < least) {
+				best, least = q, wait
+			}
+		}
+	}
+	return best
+}
+
 // priceFor is an offer's price per core for a job; types that others cannot do
 // without count as dearer.
 func (c *Core) priceFor(j *job, o Offer) float64 {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -23,11 +23,15 @@
 	for _, n := range p.shortage {
 		j := n.job
 		s := p.slices[j.id]
-		if s == nil || n.after < moveGain && !dark || j.spec.Zone != "" || j.spec.Gang || j.spec.Apart || s.busy ||
-			len(s.settled) > 0 || j.spec.OneZone || c.now < s.moveAt {
+		if s == nil || n.after < moveGain && !dark || !movable(j) || s.busy || len(s.settled) > 0 || c.now < s.moveAt {
 			continue
 		}
-		if to, count := c.betterPart(p, j, n); to != nil {
+		to, count := c.betterPart(p, j, n)
+		if e, ok := p.export[j.id]; ok && to == nil {
+			to, count = e.to, min(e.tasks, n.tasks, 64)
+			delete(p.export, j.id)
+		}
+		if to != nil {
 			s.moveAt = c.now + 5*time.Second
 			c.move(p, to, s, count)
 			return
@@ -36,6 +40,11 @@
 	p.moveAt = c.now + 500*time.Millisecond
 }
 
+// movable says whether a job's tasks may go to any part.
+func movable(j *job) bool {
+	return j.spec.Zone == "" && !j.spec.OneZone && !j.spec.Gang && !j.spec.Apart
+}
+
 // betterPart finds a part of another owner, or another of mine, with room for
 // some of the tasks now, and how many.
 func (c *Core) betterPart(p *part, j *job, n need) (*part, int) {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -58,6 +58,7 @@
 	scarce   map[Offer]time.Duration
 	demand   []sample
 	shortage []need
+	export   map[string]export // by job
 	loadedAt time.Duration
 	loadAt   time.Duration // when the load is logged next
 
@@ -78,7 +79,7 @@
 func newPart(zone int, name string) *part {
 	return &part{zone: zone, name: name, hosts: map[string]*host{}, gone: map[string]time.Duration{},
 		slices: map[string]*slice{}, dirty: map[string]*slice{}, later: map[string]time.Duration{}, scarce: map[Offer]time.Duration{},
-		refreshing: map[string]bool{}}
+		refreshing: map[string]bool{}, export: map[string]export{}}
 }
 
 func (p *part) key() string { return "part/" + p.name }
