--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -246,12 +246,14 @@
 		return
 	}
 	q.askAt = c.now + time.Second
-	c.readQuota(q)
-	cores := min(float64(s.waiting.count())*s.job.spec.Need.Cores, max(c.limits[team].Limit.Cores/8, s.job.spec.Need.Cores))
-	c.tellAll(Message{Asks: []GrantAsk{{q.team, cores, c.rankOf(s)}}})
+	// My other parts first: while the key is being read they give nothing back,
+	// and one owner of several parts kept a team's work waiting for ever.
 	for _, p := range c.parts {
 		if p.mine && p.loaded && c.giveBack(p, team, true) {
 			return
 		}
 	}
+	c.readQuota(q)
+	cores := min(float64(s.waiting.count())*s.job.spec.Need.Cores, max(c.limits[team].Limit.Cores/8, s.job.spec.Need.Cores))
+	c.tellAll(Message{Asks: []GrantAsk{{q.team, cores, c.rankOf(s)}}})
 }
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -117,7 +117,13 @@
 // randomDay plays a day of random jobs and overlapping faults and returns what
 // is wrong with it.
 func randomDay(seed uint64, log func(string, ...any)) []string {
-	w := New(seed, Settings())
+	cfg := Settings()
+	controllers := cfg.Zones
+	if seed%5 == 0 { // zones without a controller, and two controllers in one
+		cfg.Zones = []string{"a", "b", "c", "d", "e", "f", "g"}
+		controllers = []string{"a", "b", "b"}
+	}
+	w := NewWith(seed, cfg, controllers...)
 	if log != nil {
 		w.Log = log
 	}
--- a/internal/fake/size_test.go
+++ b/internal/fake/size_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
 	"roadcleat/internal/core"
 )
 
@@ -58,3 +61,34 @@
 	}
 	return w
 }
+
+func TestALargeFleetKeepsTheRulesWhenAllRestartWhileAZoneIsCutOff(t *testing.T) {
+	w := grown(3, 480)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Run(3 * time.Second)
+	var jobs []*Job
+	for i := range 24 {
+		s := spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 60, 4)
+		s.Estimate = 25
+		jobs = append(jobs, w.Submit(s, time.Duration(15+i)*time.Second))
+	}
+	require.True(t, w.Until(40*time.Second, func() bool { return w.Referee.Starts > 600 }))
+	for _, n := range w.Nodes[1:] { // the zone of the first controller, held back and then all at once
+		for _, name := range workersOf(w, "a") {
+			w.Cut(n.Name, name, 25*time.Second, true)
+		}
+		w.Cut("node-0", n.Name, 25*time.Second, true)
+	}
+	w.Cut("node-0", "state", 25*time.Second, true)
+	w.Run(2 * time.Second)
+	for i, n := range w.Nodes {
+		n.Restart(time.Duration(50+400*i) * time.Millisecond)
+	}
+	w.Run(20 * time.Second)
+	w.Nodes[1].Freeze(w.Cfg.Lease + 5*time.Second)
+	w.Run(2 * time.Second)
+	w.Nodes[2].Restart(80 * time.Millisecond) // one owner of everything
+	for _, j := range jobs {
+		ends(t, w, j, 6*time.Minute)
+	}
+}
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -579,3 +579,82 @@
 		ends(t, w, j, 5*time.Minute)
 	}
 }
+
+func TestTasksMoveToAPartThatCanStillHireCheapMachines(t *testing.T) {
+	// Jobs go where machines are; on swanlic-wa-fleet two zones hired hundreds of
+	// dear machines while most cheap ones of the third were never rented.
+	cfg := Settings()
+	cfg.Zones = cfg.Zones[:2]
+	cfg.Teams[0].Limit = core.Amount{Cores: 4000}
+	w := New(47, cfg)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	room := func(zone string, spot bool, n int) {
+		for _, typ := range w.Cloud.Types {
+			w.Cloud.Room[roomKey(typ.Name, zone, spot)] = n
+		}
+	}
+	for i := range w.Cloud.Types {
+		w.Cloud.Types[i].BootS = 40
+	}
+	w.Cloud.BootS = func(string) float64 { return 40 }
+	room("a", true, 16)
+	room("a", false, 0)
+	room("b", true, 0)
+	room("b", false, 0)
+	w.Run(3 * time.Second)
+	there := spec("job-1", "blue", 1, 1) // b learns that it has nothing to hire
+	there.Zone = "b"
+	w.Submit(there, time.Second)
+	w.Run(14 * time.Second)
+	var jobs []*Job
+	for i := range 10 {
+		s := spec(fmt.Sprintf("job-1%d", i), "red", 40, 4)
+		s.Estimate = 40
+		jobs = append(jobs, w.Submit(s, 40*time.Second))
+	}
+	w.Run(time.Second)
+	room("b", true, 60)
+	w.Run(12 * time.Second) // it tries again after what was refused
+	room("a", false, 60)
+	ordinary := func() int {
+		n := 0
+		for _, k := range w.Workers {
+			if k.zone == "a" && !k.spot {
+				n++
+			}
+		}
+		return n
+	}
+	for _, j := range jobs {
+		ends(t, w, j, 4*time.Minute)
+	}
+
+	assert.Less(t, ordinary(), 80, "dear machines here while cheap ones are to be had there")
+}
+
+func TestOneOwnerOfSeveralPartsGivesItsOwnGrantsBack(t *testing.T) {
+	// Found by random days with more zones than controllers: the part that waited
+	// had the grants read every second just when the other one, idle and of the
+	// same owner, would have given its own back.
+	cfg := Settings()
+	cfg.Zones = []string{"a", "b", "c", "d"}
+	w := NewWith(48, cfg, "a")
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 6
+	}
+	w.Run(10 * time.Second)
+	one := func(n int, zone string, tasks int, run time.Duration) *Job {
+		s := spec(fmt.Sprintf("job-%d", n), "blue", tasks, 4) // of 16 cores
+		s.Zone = zone
+		return w.Submit(s, run)
+	}
+	n := 0
+	for _, zone := range []string{"b", "c", "d", "a", "d", "c", "b", "a"} {
+		n++
+		first := one(n, zone, 3, 5*time.Second)
+		ends(t, w, first, time.Minute)
+		n++
+		ends(t, w, one(n, map[string]string{"a": "b", "b": "a", "c": "d", "d": "c"}[zone], 4, 5*time.Second), 25*time.Second)
+	}
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -81,14 +81,18 @@
 	}
 }
 
-// New makes a world with its controllers started.
-func New(seed uint64, cfg core.Config) *World {
+// New makes a world with a controller started in each zone.
+func New(seed uint64, cfg core.Config) *World { return NewWith(seed, cfg, cfg.Zones...) }
+
+// NewWith makes one with a controller in each of the zones given, which may be
+// fewer than there are, or the same more than once.
+func NewWith(seed uint64, cfg core.Config, controllers ...string) *World {
 	w := &World{Rng: rand.New(rand.NewPCG(seed, 1)), Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
 		cuts: map[[2]string]*cut{}, Cfg: cfg, Log: func(string, ...any) {}}
 	w.Referee = newReferee(w)
 	w.Store = newStore(w)
 	w.Cloud = newCloud(w)
-	for i, z := range cfg.Zones {
+	for i, z := range controllers {
 		n := &Node{w: w, Name: fmt.Sprintf("node-%d", i), zone: z}
 		w.Nodes = append(w.Nodes, n)
 	}
