--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -117,7 +117,13 @@
 // randomDay plays a day of random jobs and overlapping faults and returns what
 // is wrong with it.
 func randomDay(seed uint64, log func(string, ...any)) []string {
-	w := New(seed, Settings())
+	cfg := Settings()
+	controllers := cfg.Zones
+	if seed%5 == 0 { // zones without a controller, and two controllers in one
+		cfg.Zones = []string{"a", "b", "c", "d", "e", "f", "g"}
+		controllers = []string{"a", "b", "b"}
+	}
+	w := NewWith(seed, cfg, controllers...)
 	if log != nil {
 		w.Log = log
 	}
@@ -128,6 +134,9 @@
 		}
 		return true, time.Duration(r.IntN(8000)) * time.Millisecond
 	}
+	if seed%3 == 0 { // whoever is away for a while can't follow any more
+		w.Store.Keep = 20
+	}
 	if seed%2 == 0 { // late copies of reports, and requests carried out again
 		w.Copies = func(*Worker) []time.Duration {
 			if w.Now > 4*time.Minute || r.IntN(10) > 0 {
