--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
+	"runtime/pprof"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"roadcleat/internal/agent"
 	"roadcleat/internal/cloud"
@@ -57,3 +60,25 @@
 	<-r.workerCalls
 	assert.Equal(t, uint64(1), (<-r.queue).event.(core.Answer).ID, "the other goes on when there is room")
 }
+
+func TestCallsThatHangTakeNoThreads(t *testing.T) {
+	// A process may have 2,000 threads; machines behind a cut let calls hang by the hundred.
+	const calls = 200
+	r := newRuntime(calls)
+	var workers []string // connections come about and nobody answers
+	for range calls {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		workers = append(workers, ln.Addr().String())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	before := pprof.Lookup("threadcreate").Count()
+	for i, addr := range workers {
+		go r.call(ctx, core.Call{ID: uint64(i), Op: core.ShowOp{Addr: addr}})
+	}
+	require.Eventually(t, func() bool { return len(r.workerCalls) == calls }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(200 * time.Millisecond) // they are under way
+	assert.Less(t, pprof.Lookup("threadcreate").Count()-before, 64)
+	cancel()
+}
