--- a/internal/plan/device.go
+++ b/internal/plan/device.go
@@ -158,21 +158,20 @@
 	for i+1 < len(levels) && levels[i+1].at <= t {
 		i++
 	}
+	room := func(i int) bool { return i < 0 || s.Need.Plus(levels[i].used).Within(d.Total) }
 	for {
 		end := d.endFrom(s, t)
-		full := i
-		for full < len(levels) && (full < 0 || s.Need.Plus(levels[full].used).Within(d.Total)) {
+		full := i // the first level without room before the end
+		for full < len(levels) && room(full) {
 			if full++; full < len(levels) && levels[full].at >= end {
 				full = len(levels)
 			}
 		}
-		s.Work += full - i
 		if full == len(levels) {
 			return t, end, true
 		}
-		for i = full + 1; i < len(levels) && !s.Need.Plus(levels[i].used).Within(d.Total); i++ {
+		for i = full + 1; i < len(levels) && !room(i); i++ {
 		}
-		s.Work += i - full
 		if i == len(levels) {
 			return 0, 0, false // not so: after the last use all is free
 		}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -15,7 +15,6 @@
 	Cost    func(kind int) float64 // seconds added when machines of a kind are compared; nil: none
 	Gang    bool                   // all tasks take their room at the same moment
 	By      float64                // Spread: tasks start by then or not at all; 0: whenever
-	Work    int                    // added to: what was looked at, in machines and levels of their use
 }
 
 // Schedule is a complete placement of a pipeline.
@@ -305,7 +304,6 @@
 		if s.Allowed != nil && !s.Allowed(dev.Kind) {
 			continue
 		}
-		s.Work += 1 + len(dev.Uses)
 		if at, ok := dev.bound(s, ready); ok {
 			h = append(h, candidate{cost: at + dev.cost(s), device: d})
 		}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -166,12 +166,17 @@
 
 // call makes a call to the outside and hands its result back to the owner.
 func (r *Runtime) call(ctx context.Context, c core.Call) {
-	slots := r.calls
+	var slots chan struct{} // none for the lease, which waits for nobody
 	switch c.Op.(type) {
 	case core.OrdersOp, core.ShowOp:
 		slots = r.workerCalls
+	case core.HoldOp, core.RenewOp:
+	default:
+		slots = r.calls
+	}
+	if slots != nil {
+		slots <- struct{}{}
 	}
-	slots <- struct{}{}
 	var res any
 	switch op := c.Op.(type) {
 	case core.CommitOp:
@@ -199,7 +204,9 @@
 	case core.ShowOp:
 		res = r.agent.Show(ctx, op.Addr)
 	}
-	<-slots
+	if slots != nil {
+		<-slots
+	}
 	r.seen.Call(c.Op, res)
 	select {
 	case r.queue <- command{event: core.Answer{ID: c.ID, Result: res}}:
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -42,11 +42,14 @@
 	assert.Len(t, beat.reply, 1)
 }
 
-func TestWorkersThatDoNotAnswerKeepNoCallToTheStateServiceWaiting(t *testing.T) {
+func TestCallsThatDoNotComeBackDoNotKeepTheLeaseWaiting(t *testing.T) {
 	// Hundreds of machines behind a cut took all slots, the lease was not renewed
 	// and the part lost.
 	r := newRuntime(1)
 	r.workerCalls <- struct{}{} // a call that hangs
+	for range cap(r.calls) {
+		r.calls <- struct{}{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go r.call(ctx, core.Call{ID: 1, Op: core.ShowOp{Addr: "127.0.0.1:1"}})
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -89,3 +89,16 @@
 	resp, _ = ask("GET", "/explain/job-000001", "")
 	assert.Equal(t, 404, resp.StatusCode)
 }
+
+func TestSocketsStayWithinTheLimitAtEverySize(t *testing.T) {
+	for _, limit := range []int{16, 50, 300, 1500, 1800, 3099, 60000} {
+		for _, others := range []int{0, 2, 6, 20} {
+			s := &config.Settings{Others: make([]config.Other, others)}
+			s.Deployment.Resources.FDLimit = limit
+			b := socketsFor(s)
+			assert.Less(t, b.served+b.workers, limit, "%d beside %d others", limit, others)
+			assert.Greater(t, b.served, b.workers, "those who call have most")
+			assert.Positive(t, b.workers)
+		}
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -19,7 +19,7 @@
 // budgets: one token a request, one token a change.
 type Client struct {
 	http     *httpc.Client
-	follow   *httpc.Client // open watches hold no connection others wait for
+	apart    *httpc.Client // open watches and the lease, so that neither waits for the rest nor keeps it waiting
 	requests *rate.Limiter
 	changes  *rate.Limiter
 
@@ -33,7 +33,7 @@
 func New(addr string, requests, changes float64, txnOps int, share float64) *Client {
 	c := &Client{
 		http:        httpc.New(addr, 24, 24),
-		follow:      httpc.New(addr, 4, 4),
+		apart:       httpc.New(addr, 4, 4),
 		requests:    rate.NewLimiter(0, 1),
 		changes:     rate.NewLimiter(0, 1),
 		allRequests: requests, allChanges: changes, txnOps: txnOps,
@@ -169,7 +169,7 @@
 		return core.FollowResult{Outcome: core.NotSent}
 	}
 	path := fmt.Sprintf("/follow?Starts=%s&After=%d&WaitMs=%d", url.QueryEscape(op.Prefix), op.After, op.Wait.Milliseconds())
-	r := c.follow.Do(ctx, op.Wait+timeout, http.MethodGet, path, nil)
+	r := c.apart.Do(ctx, op.Wait+timeout, http.MethodGet, path, nil)
 	switch {
 	case r.Err != nil || r.Status != 200 && r.Status != 410:
 		return core.FollowResult{Outcome: core.Unknown}
@@ -191,7 +191,7 @@
 // Hold asks for a lease.
 func (c *Client) Hold(ctx context.Context, op core.HoldOp) core.HoldResult {
 	c.charge()
-	r := c.http.Do(ctx, timeout, http.MethodPost, "/holds", wire.EncodeHold(op.Life.Milliseconds()))
+	r := c.apart.Do(ctx, timeout, http.MethodPost, "/holds", wire.EncodeHold(op.Life.Milliseconds()))
 	if reply := wire.DecodeTxnReply(r.Body); r.Err == nil && r.Status == 200 && reply.Tenure > 0 {
 		return core.HoldResult{Outcome: core.OK, Lease: reply.Tenure}
 	}
@@ -201,7 +201,7 @@
 // Renew renews a lease.
 func (c *Client) Renew(ctx context.Context, op core.RenewOp) core.RenewResult {
 	c.charge()
-	r := c.http.Do(ctx, timeout, http.MethodPost, fmt.Sprintf("/holds/%d/renew", op.Lease), nil)
+	r := c.apart.Do(ctx, timeout, http.MethodPost, fmt.Sprintf("/holds/%d/renew", op.Lease), nil)
 	switch {
 	case r.Err == nil && r.Status == 200:
 		return core.RenewResult{Outcome: core.OK}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -47,3 +47,24 @@
 	assert.Equal(t, core.OK, c.Renew(ctx, core.RenewOp{Lease: 7}).Outcome)
 	assert.Less(t, time.Since(start), time.Second)
 }
+
+func TestTheLeaseIsRenewedWhileEveryOtherConnectionHangs(t *testing.T) {
+	hang := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/holds") {
+			<-hang
+		}
+		_, _ = w.Write([]byte(`{}`))
+	}))
+	defer srv.Close()
+	defer close(hang)
+	c := New(strings.TrimPrefix(srv.URL, "http://"), 1000, 1000, 12, 1)
+	ctx := t.Context()
+	for range 60 {
+		go c.Read(ctx, core.ReadOp{Key: "job/1", Urgent: true})
+	}
+	time.Sleep(100 * time.Millisecond) // they have taken what there is
+	start := time.Now()
+	assert.Equal(t, core.OK, c.Renew(ctx, core.RenewOp{Lease: 7}).Outcome)
+	assert.Less(t, time.Since(start), time.Second)
+}
