A new session of a worker has a whole lease of its own

Silence was counted from the greeting, so the tasks counted as gone up to a lease's length too early. The moment a later session is first heard of now counts like the greeting. The story fails without.

--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -267,6 +267,12 @@
 		known := h.acked > 0
 		c.settleAll(p, h, func(t *task) bool { return t.sent || t.inherited && known })
 	}
+	if h.acked > 0 {
+		// The new session has a whole lease from its beginning, which is not later
+		// than now. Counted from when the one before had shown my token, it would
+		// seem over while what was started in the new one still runs.
+		h.acked = c.now
+	}
 	clear(h.images)
 	clear(h.fetching)
 }
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -658,3 +658,51 @@
 		ends(t, w, one(n, map[string]string{"a": "b", "b": "a", "c": "d", "d": "c"}[zone], 4, 5*time.Second), 25*time.Second)
 	}
 }
+
+func TestANewSessionHasAWholeLease(t *testing.T) {
+	// Found by a random day: a new owner had greeted a worker, whose lease from
+	// before then ran out; what it started in the session after that was taken for
+	// gone a lease after the greeting, while it still ran.
+	w := oneController(t, 50, func(c *core.Config) {
+		c.Knobs.SilentReturn, c.Knobs.KeepIdle = 10*time.Minute, 10*time.Minute
+	})
+	plain := func(id string, tasks int) core.Spec {
+		s := spec(id, "red", tasks, 4)
+		s.Image, s.ImageGB = "", 0
+		return s
+	}
+	ends(t, w, w.Submit(plain("job-1", 10), 5*time.Second), 2*time.Minute) // machines are up and idle
+	w.Run(2 * time.Second)
+	var muted []*Worker // they are asked and answer, but their own reports are lost
+	for _, k := range w.Workers {
+		if !k.gone {
+			k.nextAt = w.Now + time.Hour
+			muted = append(muted, k)
+		}
+	}
+	require.Greater(t, len(muted), 2)
+	sent := w.Now
+	w.Run(9 * time.Second)
+	w.Nodes[0].Restart(100 * time.Millisecond)
+	w.Submit(plain("job-2", 4), 5*time.Minute)
+	// It greets them; their leases run out a lease after their last report, and it
+	// hears so when it has orders for them.
+	w.Run(sent + w.Cfg.Lease + 200*time.Millisecond - w.Now)
+	w.Submit(plain("job-3", 6), 5*time.Minute)
+	again := func() bool {
+		for _, id := range []string{"job-2", "job-3"} {
+			for k := range w.On(id) {
+				if k.session > 1 {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	require.True(t, w.Until(3*time.Second, again), "started in a new session")
+	for _, k := range muted {
+		w.Cut("node-0", k.name, 10*time.Minute, false)
+	}
+	w.Cloud.BootS = func(string) float64 { return 0.2 }
+	w.Run(40 * time.Second) // the referee sees a task that starts again too soon
+}
