A plan for a job that is withdrawn meanwhile holds nothing

What is only planned was neither placed nor given up, and stayed booked on its machine and against the team's limit for ever, so the team's work waited. It is given up when the ended slice is recorded, where no transaction can be under way. The story fails without.

--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -485,6 +485,14 @@
 	key := sliceKey(p.name, id)
 	guard := func() { w.txn.Guards = append(w.txn.Guards, Guard{key, s.stamp}) }
 	if s.job.standing != Pending {
+		// No transaction is under way, so what is only planned will never be
+		// placed. Left booked, it would hold room and the team's grant for ever.
+		for _, i := range sorted(s.tasks) {
+			if t := s.tasks[i]; t.phase == placing {
+				c.vacate(p, t)
+				delete(s.tasks, i)
+			}
+		}
 		if len(s.tasks) == 0 {
 			guard()
 			w.txn.Apply = append(w.txn.Apply, Set{Key: key})
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -706,3 +706,30 @@
 	w.Cloud.BootS = func(string) float64 { return 0.2 }
 	w.Run(40 * time.Second) // the referee sees a task that starts again too soon
 }
+
+func TestAPlanForAJobThatIsWithdrawnMeanwhileHoldsNothing(t *testing.T) {
+	// Found by a random day: the owner could write nothing for a moment, planned a
+	// job and heard of its withdrawal. The room it had booked stayed booked, and the
+	// team's other work waited for ever.
+	w := oneController(t, 51, nil)
+	w.Submit(spec("job-1", "red", 4, 4), 2*time.Second)
+	require.True(t, w.Until(time.Minute, started(w, "job-1", 4)))
+	lost := 0
+	w.Store.Lose = func(_ string, txn core.Txn) (bool, time.Duration) {
+		for _, s := range txn.Apply {
+			if strings.HasPrefix(s.Key, "slice/") && strings.HasSuffix(s.Key, "/job-1") && lost == 0 {
+				lost++
+				return true, 0 // applied, and the answer is lost
+			}
+		}
+		return false, 0
+	}
+	require.True(t, w.Until(20*time.Second, func() bool { return lost > 0 }))
+	withdrawn := w.Submit(spec("job-2", "blue", 4, 4), time.Minute) // all of blue's limit
+	w.Run(400 * time.Millisecond)
+	w.Stop(withdrawn)
+	ends(t, w, withdrawn, 10*time.Second)
+	w.Run(5 * time.Second)
+	assert.Empty(t, w.Nodes[0].Core.Residents())
+	ends(t, w, w.Submit(spec("job-3", "blue", 4, 4), 5*time.Second), time.Minute)
+}
