--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -126,7 +126,7 @@
 		if s.Allowed != nil && !s.Allowed(dev.Kind) {
 			continue
 		}
-		if _, end, ok := dev.try(s, ready); ok {
+		if start, end, ok := dev.try(s, ready); ok && (!s.Gang || start <= ready) {
 			if cost := end + dev.cost(s); best < 0 || cost < at {
 				best, at = d, cost
 			}
@@ -298,6 +298,10 @@
 		whole := *s
 		whole.Tasks = n
 		ready = (&partial{}).together(&whole, devices, ready)
+		// All take their room then. Of short tasks on a cheap machine one might
+		// else seem better off after another than beside it on a dear one.
+		whole.By = ready + 1e-9
+		s = &whole
 	}
 	h := make(candidates, 0, len(devices))
 	for d, dev := range devices {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -160,3 +160,19 @@
 	assert.Equal(t, 2, Spread(&step, 3, []*Device{cached, free}, 0, visit))
 	assert.Equal(t, []int{1, 1}, at)
 }
+
+func TestAGangOfShortTasksStartsWholeThoughSomeWouldEndCheaperOneAfterAnother(t *testing.T) {
+	// Found by a random day: a gang waited for ever beside idle machines.
+	dear := func(kind int) float64 { return float64(kind) * 3 }
+	fleet := func() []*Device {
+		return []*Device{{Total: Amount{Cores: 4}}, {Kind: 1, Total: Amount{Cores: 16}}, {Kind: 1, Total: Amount{Cores: 4}}}
+	}
+	s := Step{Gang: true, Tasks: 3, Need: Amount{Cores: 4}, Comp: 1, Image: -1, Cost: dear}
+	var starts []float64
+	placed := Spread(&s, 3, fleet(), 10, func(p Placement) bool { starts = append(starts, p.Start); return true })
+	assert.Equal(t, 3, placed)
+	assert.Equal(t, []float64{10, 10, 10}, starts)
+	for _, p := range Solve([]Step{s}, fleet(), 10, 16).Placements {
+		assert.Equal(t, 10.0, p.Start)
+	}
+}
