A limit of 0 limits nothing: guests are served

The settings give a guest no guarantee and no limit, and DEPLOY says '0 means none'; a limit of 0 was read as nothing allowed. Ruled out: an unknown team; types that hold no task.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -23,6 +23,13 @@
 	assert.Equal(t, 16.0, s.Deployment.Teams[0].CPUsMax)
 }
 
+func TestATeamMayHaveNoGuaranteeAndNoLimit(t *testing.T) {
+	for _, team := range []string{`{"name":"t"}`, `{"name":"t","cpus":0,"cpus_max":0.0}`, `{"name":"t","cpus":8}`, `{"name":"t","cpus":8,"cpus_max":0}`} {
+		_, err := Parse([]byte(strings.Replace(good, `{"name":"t","cpus":8,"cpus_max":16}`, team, 1)))
+		assert.NoError(t, err, team)
+	}
+}
+
 func TestImpossibleSettingsAreNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
 		{`"zones":["z","y"]`, `"zones":[]`, "deployment.zones"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -46,7 +46,8 @@
 	ClockOffMs float64     `json:"clock_off_ms"`
 }
 
-// Team is a team's guarantee and limit.
+// Team is a team's guarantee and limit; 0 means none, so a limit of 0 limits
+// nothing. It was once read as nothing allowed, and guests were refused for ever.
 type Team struct {
 	Name    string  `json:"name"`
 	CPUs    float64 `json:"cpus"`
@@ -154,9 +155,9 @@
 			return fmt.Errorf("%s.name: missing or not unique", f)
 		case bad(t.CPUs) || bad(t.CPUsMax) || bad(t.GPUs) || bad(t.GPUsMax):
 			return fmt.Errorf("%s: amounts must not be negative", f)
-		case t.CPUs > t.CPUsMax:
+		case t.CPUsMax > 0 && t.CPUs > t.CPUsMax:
 			return fmt.Errorf("%s.cpus: guarantee %g is above cpus_max %g", f, t.CPUs, t.CPUsMax)
-		case t.GPUs > t.GPUsMax:
+		case t.GPUsMax > 0 && t.GPUs > t.GPUsMax:
 			return fmt.Errorf("%s.gpus: guarantee %g is above gpus_max %g", f, t.GPUs, t.GPUsMax)
 		}
 		teams[t.Name] = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,8 @@
 // Peer is another controller.
 type Peer struct{ Label, Zone string }
 
-// Team is a team's guarantee and limit.
+// Team is a team's guarantee and limit. An amount of 0 means that there is none:
+// nothing guaranteed, or not limited.
 type Team struct {
 	Name             string
 	Guarantee, Limit Amount
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -106,7 +106,7 @@
 		return "the part is being handed over"
 	case len(p.refreshing) > 0:
 		return "a transaction's outcome is being looked up"
-	case !c.quotas[s.job.team].known:
+	case c.limits[s.job.team].Limit.limits(s.job.spec.Need) && !c.quotas[s.job.team].known:
 		return "the team's grants are not known yet"
 	case c.room(p, s.job.team, s.job.spec.Need) == 0:
 		return "the team's limit is used up"
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -332,7 +332,7 @@
 	if s.Service || s.Gang {
 		times = float64(s.Tasks)
 	}
-	if s.Need.Cores*times > lim.Cores+1e-6 || s.Need.Cards*times > lim.Cards+1e-6 {
+	if lim.Cores > 0 && s.Need.Cores*times > lim.Cores+1e-6 || lim.Cards > 0 && s.Need.Cards*times > lim.Cards+1e-6 {
 		return "needs more than the team's limit"
 	}
 	if s.Zone != "" && s.Apart && s.Tasks > 1 {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -138,20 +138,34 @@
 	})
 }
 
+// limits says whether a team's limit concerns tasks of need at all. What it does
+// not concern needs no grants.
+func (lim Amount) limits(need Amount) bool {
+	return need.Cores > 0 && lim.Cores > 0 || need.Cards > 0 && lim.Cards > 0
+}
+
+// within says whether use keeps to a grant, as far as the limit concerns it.
+func (lim Amount) within(used Amount, g grant) bool {
+	return (lim.Cores == 0 || used.Cores <= g.Cores+1e-6) && (lim.Cards == 0 || used.Cards <= g.Cards+1e-6)
+}
+
 // room is how many more tasks of need the team may run in the part: within
 // the part's grant and what nobody holds.
 func (c *Core) room(p *part, team int, need Amount) int {
 	q, lim := c.quotas[team], c.limits[team].Limit
+	n := math.MaxInt32
+	if !lim.limits(need) {
+		return n
+	}
 	if !q.known || q.need {
 		c.readQuota(q)
 		return 0
 	}
 	sum, mine, used := q.sum(), q.grants[p.name], p.used[team]
-	n := math.MaxInt32
-	if need.Cores > 0 {
+	if need.Cores > 0 && lim.Cores > 0 {
 		n = min(n, int((mine.Cores+lim.Cores-sum.Cores-used.Cores+1e-6)/need.Cores))
 	}
-	if need.Cards > 0 {
+	if need.Cards > 0 && lim.Cards > 0 {
 		n = min(n, int((mine.Cards+lim.Cards-sum.Cards-used.Cards+1e-6)/need.Cards))
 	}
 	return max(n, 0)
@@ -163,14 +177,14 @@
 	q, lim := c.quotas[team], c.limits[team].Limit
 	mine, used, sum := q.grants[p.name], p.used[team], q.sum()
 	sure := q.mine(p.name)
-	if used.Cores <= sure.Cores+1e-6 && used.Cards <= sure.Cards+1e-6 {
+	if lim.within(used, sure) {
 		return nil, false
 	}
 	want := mine
-	if used.Cores > mine.Cores {
+	if lim.Cores > 0 && used.Cores > mine.Cores {
 		want.Cores = min(used.Cores+lim.Cores/16, mine.Cores+lim.Cores-sum.Cores)
 	}
-	if used.Cards > mine.Cards {
+	if lim.Cards > 0 && used.Cards > mine.Cards {
 		want.Cards = min(used.Cards+lim.Cards/16, mine.Cards+lim.Cards-sum.Cards)
 	}
 	next := maps.Clone(q.grants) // known, so there is a map
@@ -181,7 +195,10 @@
 // granted says whether all that the part has placed or is placing of a team
 // fits into its grant, or will once the grant has grown.
 func (c *Core) granted(p *part, team int, w *writing) bool {
-	q, used := c.quotas[team], p.used[team]
+	q, used, lim := c.quotas[team], p.used[team], c.limits[team].Limit
+	if lim.Cores == 0 && lim.Cards == 0 {
+		return true
+	}
 	if !q.known || q.need {
 		return false
 	}
@@ -191,14 +208,16 @@
 			return true
 		}
 	}
-	mine := g[p.name]
-	return used.Cores <= mine.Cores+1e-6 && used.Cards <= mine.Cards+1e-6
+	return lim.within(used, g[p.name])
 }
 
 // giveBack returns the part's idle grant of a team: at once when another part
 // asks for it, otherwise after it has been idle for a while.
 func (c *Core) giveBack(p *part, team int, now bool) bool {
 	q := c.quotas[team]
+	if lim := c.limits[team].Limit; lim.Cores == 0 && lim.Cards == 0 {
+		return false // there are no grants
+	}
 	if !q.known || q.need {
 		c.readQuota(q)
 		return false
@@ -207,6 +226,12 @@
 		return false
 	}
 	mine, used, lim := q.grants[p.name], p.used[team], c.limits[team].Limit
+	if lim.Cores == 0 {
+		used.Cores = 0
+	}
+	if lim.Cards == 0 {
+		used.Cards = 0
+	}
 	if q.idleAt == nil {
 		q.idleAt = map[string]time.Duration{}
 	}
