A job that fails everywhere blames no machine and is tried one task at a time

Change: failures are weighed. Different jobs failing on a machine, or one that ends well elsewhere, speak against the machine; a job that fails on two machines and ends well nowhere is in doubt: it blames none, calls for none, one task at a time is tried with pauses of 1 to 16 s, and one success ends the doubt. A job keeps away for 15 s from a machine it failed on. The doubt is kept with the slice for the next owner. Shown in status and explain.

--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -106,6 +106,12 @@
 	for _, c := range s.Classes {
 		fmt.Fprintf(w, "%s\t%d\t%d\n", c.Class, c.Waiting, c.Running)
 	}
+	if len(s.Doubtful) > 0 {
+		fmt.Fprintln(w, "\nFAILS EVERYWHERE\tTEAM\tCLASS\tFAILURES\tNEXT TRY\tMACHINES")
+	}
+	for _, d := range s.Doubtful {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\tin %.0fs\t%s\n", d.Job, d.Team, d.Class, d.Failures, d.NextS, strings.Join(d.Hosts, ", "))
+	}
 	fmt.Fprintln(w, "\nOTHER CONTROLLER\tHEARD\tREACHES THE STATE SERVICE")
 	for _, p := range s.Peers {
 		fmt.Fprintf(w, "%s\t%s\t%t\n", p.Label, ago(p.AgeS), p.StoreOK)
--- a/cmd/roadcleat/root_test.go
+++ b/cmd/roadcleat/root_test.go
@@ -36,7 +36,8 @@
 		switch r.URL.Path {
 		case "/status":
 			_, _ = w.Write([]byte(`{"label":"n0","store":{"age_s":1.5},"cloud":{"age_s":-1},"parts":[{"zone":"z","owner":"n0","token":41,"here":true,
-"hosts":[{"type":"m","spot":true,"state":"up","count":3}],"waiting":7}]}`))
+"hosts":[{"type":"m","spot":true,"state":"up","count":3}],"waiting":7}],
+"doubtful":[{"job":"job-000007","team":"red","class":"work","failures":5,"hosts":["vm-1","vm-2"],"next_s":4}]}`))
 		case "/explain/job-000001":
 			_, _ = w.Write([]byte(`{"job":"job-000001","standing":"unfinished","parts":[{"part":"z","here":true,"waiting":2,"why":"no room"}]}`))
 		default:
@@ -47,7 +48,7 @@
 	addr := strings.TrimPrefix(srv.URL, "http://")
 	code, out, _ := run("status", "--addr", addr)
 	assert.Zero(t, code)
-	for _, want := range []string{"41", "3 m spot up", "store seen: 1.5s ago", "cloud seen: never"} {
+	for _, want := range []string{"41", "3 m spot up", "store seen: 1.5s ago", "cloud seen: never", "job-000007", "in 4s", "vm-1, vm-2"} {
 		assert.Contains(t, out, want)
 	}
 	code, out, _ = run("explain", "--addr", addr, "job-000001")
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -46,7 +46,7 @@
 	}
 	for _, s := range p.slices {
 		if s.job.standing == Pending && s.job.team >= 0 && len(s.waiting) > 0 {
-			n := min(s.waiting.count(), c.room(p, s.job.team, s.job.spec.Need))
+			n := min(c.startable(s), c.room(p, s.job.team, s.job.spec.Need))
 			if typ := c.usualType(s.job); typ >= 0 {
 				demand[poolOf(pools, typ)] += float64(n) * s.job.spec.Need.Cores
 			}
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -41,8 +41,8 @@
 	recall       time.Duration
 	blockUntil   time.Duration
 	patience     time.Duration
-	errors       int
-	slow         float64 // run times over estimates, as a running mean
+	blame        map[string]int // failures here by job since anything last ended well
+	slow         float64        // run times over estimates, as a running mean
 	judged       int
 	idleSince    time.Duration
 	failed       bool
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -22,6 +22,11 @@
 	fits     uint64 // types that hold a task, and of how many that was reckoned
 	fitsOf   int
 	holdTo   time.Duration // no launches before, after workers refused it
+	good     bool          // a task of it has ended well
+	failures int           // of its tasks, since it became known here
+	failedOn []failedOn
+	doubt    int           // trials that failed since it came into doubt, 0: not in doubt
+	doubtAt  time.Duration // when the next trial may start
 }
 
 // jobValue is a job as the state service holds it. The split is how its tasks
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -253,7 +253,7 @@
 		if s.job.standing == Pending && len(s.waiting) > 0 {
 			if typ := c.usualType(s.job); typ >= 0 {
 				work[poolOf(pools, typ)][min(s.job.spec.Priority, priorities-1)] +=
-					float64(s.waiting.count()) * s.job.spec.Need.Cores * c.estimate(s.job)
+					float64(c.startable(s)) * s.job.spec.Need.Cores * c.estimate(s.job)
 			}
 		}
 	}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -378,7 +378,7 @@
 	looks, tasks := len(devices), 0
 	for _, s := range ready {
 		j := s.job
-		waiting, room := s.waiting.count(), c.room(p, j.team, j.spec.Need)
+		waiting, room := c.startable(s), c.room(p, j.team, j.spec.Need)
 		quota := c.roomFor(s, room)
 		if room < waiting && c.quotas[j.team].known {
 			c.wantGrants(s)
@@ -386,17 +386,24 @@
 		// Placed tasks are listed one by one in the slice's value.
 		most := max(c.cfg.ValueBytes/64-len(s.tasks), 0)
 		n := min(waiting, quota, most, 256)
-		if c.now < j.holdTo {
+		if c.now < j.holdTo || waiting == 0 {
 			continue
 		}
 		c.sawClass(j)
-		if j.spec.Gang && (len(s.tasks) > 0 || n < waiting) {
+		if j.spec.Gang && (len(s.tasks) > 0 || n < s.waiting.count()) {
 			continue // whole or not at all, and only once the last try is off its machines
 		}
 		var starts []plan.Placement
 		later, after := 0, 60.0
 		looks += len(devices)
 		step := c.step(j)
+		all, devices := all, devices
+		if fit := c.avoiding(j, all); len(fit) < len(all) {
+			all, devices = fit, make([]*plan.Device, len(fit))
+			for i := range fit {
+				devices[i] = fit[i].Device
+			}
+		}
 		visit := func(pl plan.Placement) bool {
 			if !j.spec.Gang && (pl.Start > now+soon || all[pl.Device].host.state != up) {
 				later++
@@ -421,7 +428,9 @@
 		}
 		tasks += planned
 		if j.spec.Gang && !c.allNow(starts, n, all) {
-			p.shortage = append(p.shortage, need{j, n, 60})
+			if j.doubt == 0 {
+				p.shortage = append(p.shortage, need{j, n, 60})
+			}
 			continue
 		}
 		if j.spec.Gang && n > 0 {
@@ -430,7 +439,7 @@
 		for k, i := range s.waiting.first(len(starts)) {
 			c.place(p, s, i, all[starts[k].Device].host)
 		}
-		if late := min(waiting, quota) - len(starts); late > 0 {
+		if late := min(waiting, quota) - len(starts); late > 0 && j.doubt == 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
 		}
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -286,6 +286,6 @@
 		}
 	}
 	c.readQuota(q)
-	cores := min(float64(s.waiting.count())*s.job.spec.Need.Cores, max(c.limits[team].Limit.Cores/8, s.job.spec.Need.Cores))
+	cores := min(float64(c.startable(s))*s.job.spec.Need.Cores, max(c.limits[team].Limit.Cores/8, s.job.spec.Need.Cores))
 	c.tellAll(Message{Asks: []GrantAsk{{q.team, cores, c.rankOf(s)}}})
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -317,23 +317,17 @@
 	}
 	switch r.Cause {
 	case Done:
+		if j := t.job(); j != nil {
+			c.endedWell(h, j)
+		}
 		if j := t.job(); j != nil && t.started > 0 && !t.inherited {
 			c.judge(p, h, seconds(c.now-t.started)/c.estimate(j))
 			c.ran(j, seconds(c.now-t.started))
-			h.errors = 0
 		}
 		c.settle(p, t, true)
 		return
 	case Failed:
-		h.errors++
-		c.note(1, "task failed", "job", t.id.Job, "task", t.id.Index, "host", h.name, "errors", h.errors)
-		if j := t.job(); j != nil {
-			j.holdTo = c.now + 300*time.Millisecond
-		}
-		h.blockUntil = c.now + time.Duration(h.errors)*2*time.Second
-		if h.errors >= 3 {
-			h.failed = true
-		}
+		c.failure(p, h, t)
 	case Lonely:
 		if j := t.job(); j != nil {
 			j.holdTo = c.now + time.Second
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -40,6 +40,9 @@
 	// to compare stamps, many at a time, where it would have to read every job.
 	Job   *jobValue `json:"j,omitempty"`
 	Stamp uint64    `json:"k,omitempty"`
+	// How long the job has been failing everywhere: a new owner need not find that
+	// out by starting all of it once more.
+	Doubt int `json:"f,omitempty"`
 }
 
 type placed struct {
@@ -65,7 +68,7 @@
 func (s *slice) value() []byte { return s.valueWith(s.job, s.job.stamp) }
 
 func (s *slice) valueWith(j *job, stamp uint64) []byte {
-	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next, Job: j.stored(""), Stamp: stamp}
+	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next, Job: j.stored(""), Stamp: stamp, Doubt: s.job.doubt}
 	for _, i := range sorted(s.tasks) {
 		t := s.tasks[i]
 		v.Placed = append(v.Placed, placed{i, t.host.name, t.attempt})
@@ -139,6 +142,9 @@
 	old := s.tasks
 	s.stamp, s.waiting, s.done, s.next = stamp, v.Waiting.clone(), v.Done.clone(), max(s.next, v.Next)
 	s.tasks = map[int]*task{}
+	if !s.job.good {
+		s.job.doubt = max(s.job.doubt, v.Doubt)
+	}
 	inStore := map[int]bool{}
 	for _, pl := range v.Placed {
 		inStore[pl.Index] = true
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -14,6 +14,7 @@
 	Parts    []PartStatus `json:"parts"`
 	Teams    []TeamStatus `json:"teams"`
 	Classes  []ClassCount `json:"classes"`
+	Doubtful []Doubtful   `json:"doubtful"`
 	Peers    []PeerStatus `json:"peers"`
 	Stats    Stats        `json:"stats"`
 }
@@ -65,6 +66,17 @@
 	Running int    `json:"running"`
 }
 
+// Doubtful is a job whose tasks fail on every machine, as one does that was
+// submitted with a mistake.
+type Doubtful struct {
+	Job      string   `json:"job"`
+	Team     string   `json:"team"`
+	Class    string   `json:"class"`
+	Failures int      `json:"failures"`
+	Hosts    []string `json:"hosts"`
+	NextS    float64  `json:"next_s"`
+}
+
 // PeerStatus is another controller as seen from here.
 type PeerStatus struct {
 	Label   string  `json:"label"`
@@ -126,6 +138,11 @@
 			s.Classes = append(s.Classes, ClassCount{name, waiting[i], running[i]})
 		}
 	}
+	for _, id := range sorted(c.jobs) {
+		if j := c.jobs[id]; c.doubtful(j) {
+			s.Doubtful = append(s.Doubtful, Doubtful{id, j.spec.Team, j.spec.Class, j.failures, j.failedNames(), seconds(max(j.doubtAt-c.now, 0))})
+		}
+	}
 	for _, q := range c.peers {
 		ps := PeerStatus{Label: q.Label, AgeS: -1}
 		if q.gossip != nil {
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -42,3 +42,112 @@
 		assert.Empty(t, n.Core.Residents(), "nothing is held for them afterwards")
 	}
 }
+
+// broken submits a job with a mistake: it fails on every machine.
+func (w *World) broken(s core.Spec) *Job {
+	job := w.Submit(s, time.Second)
+	job.Broken = true
+	return job
+}
+
+// faulty counts the machines that controllers hold faulty.
+func faulty(w *World) int {
+	n := 0
+	for _, node := range w.Nodes {
+		for _, p := range node.Core.Status().Parts {
+			for _, h := range p.Hosts {
+				if p.Here && h.State == "faulty" {
+					n += h.Count
+				}
+			}
+		}
+	}
+	return n
+}
+
+// doubtful says whether some controller has the job in doubt.
+func doubtful(w *World, id string) bool {
+	for _, n := range w.Nodes {
+		for _, d := range n.Core.Status().Doubtful {
+			if d.Job == id && len(d.Hosts) > 0 && d.Failures > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestAJobWithAMistakeBlamesNoMachine(t *testing.T) {
+	w := day(t, 62)
+	warm := w.Submit(spec("job-1", "red", 10, 2), 20*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 10)))
+	bad := spec("job-2", "red", 30, 2)
+	job := w.broken(bad)
+	blamed := 0
+	var look func()
+	look = func() {
+		blamed = max(blamed, faulty(w))
+		w.After(100*time.Millisecond, look)
+	}
+	look()
+	ends(t, w, warm, 60*time.Second)
+	require.True(t, w.Until(20*time.Second, func() bool { return doubtful(w, "job-2") }), "operators see it")
+	w.Run(10 * time.Second)
+	machines, wave := len(w.Workers), job.Starts
+	// Others' work is not kept waiting by it, and it calls for no machines.
+	for i := range 5 {
+		next := w.Submit(spec(fmt.Sprintf("job-%d", 10+i), "red", 4, 2), 5*time.Second)
+		ends(t, w, next, 25*time.Second)
+	}
+	assert.LessOrEqual(t, len(w.Workers), machines+2)
+	assert.Zero(t, blamed, "no machine is held faulty")
+	w.Run(60 * time.Second)
+	assert.LessOrEqual(t, job.Starts-wave, 3*20, "one task at a time in each part, with pauses")
+	assert.Greater(t, job.Starts, wave, "but it is tried")
+	assert.False(t, job.Over(), "and stays known")
+	w.Stop(job)
+	ends(t, w, job, 20*time.Second)
+	assert.Equal(t, core.Withdrawn, job.Told)
+}
+
+func TestAFaultyMachineGoesAndTheJobsThatMetItRunInFull(t *testing.T) {
+	w := oneController(t, 63, nil)
+	first := w.Submit(spec("job-1", "red", 8, 4), 20*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 8)))
+	faulty := map[*Worker]bool{}
+	for k := range w.On("job-1") { // half of the machines are bad, more than a job must meet to be doubted
+		if len(faulty) < 2 {
+			k.Faulty, faulty[k] = true, true
+		}
+	}
+	ends(t, w, first, 90*time.Second)
+	var jobs []*Job
+	for i := range 6 {
+		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", 2+i), "red", 6, 2), 5*time.Second))
+		w.Run(4 * time.Second)
+	}
+	for _, j := range jobs {
+		ends(t, w, j, 60*time.Second)
+	}
+	for k := range faulty {
+		assert.True(t, w.Until(time.Minute, func() bool { return k.deleted }), "it is returned")
+	}
+}
+
+func TestANewOwnerDoesNotStartAllOfADoubtfulJobAgain(t *testing.T) {
+	w := day(t, 64)
+	warm := w.Submit(spec("job-1", "red", 10, 2), 25*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 10)))
+	job := w.broken(spec("job-2", "red", 24, 2))
+	ends(t, w, warm, 60*time.Second)
+	require.True(t, w.Until(20*time.Second, func() bool { return doubtful(w, "job-2") }))
+	w.Run(15 * time.Second)
+	for _, n := range w.Nodes {
+		n.Restart(time.Second)
+	}
+	before := job.Starts
+	w.Run(15 * time.Second)
+	assert.LessOrEqual(t, job.Starts-before, 3*6)
+	job.Broken = false // its image was repaired, say
+	ends(t, w, job, 2*time.Minute)
+}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -12,6 +12,8 @@
 type Job struct {
 	Spec      core.Spec
 	Run       time.Duration
+	Broken    bool // submitted with a mistake: it fails on every machine
+	Starts    int
 	Finished  map[int]bool
 	Accepted  bool
 	Told      core.Standing
@@ -50,6 +52,7 @@
 func (r *Referee) on(id core.TaskID, k *Worker) {
 	r.Starts++
 	job := r.w.Jobs[id.Job]
+	job.Starts++
 	if job.Began == 0 {
 		job.Began = r.w.Now
 	}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -19,6 +19,7 @@
 	deleted      bool
 	hangUntil    time.Duration
 	Slow         float64       // factor on run times
+	Faulty       bool          // every task fails on it
 	notice       time.Duration // when the machine is taken, 0: not known
 
 	session, seq, token uint64
@@ -254,6 +255,10 @@
 		}
 		t.state, t.started, k.dirty = core.Running, k.w.Now, true
 		k.w.Referee.on(o.Task, k)
+		if job.Broken || k.Faulty {
+			k.step(t, epoch, 700*time.Millisecond, func() { k.end(t, core.Failed) })
+			return
+		}
 		if job.Spec.Service {
 			return
 		}
