Fillers keep away from what others want again, give way, and are spread over all parts

Change: work of teams without a guarantee, and of the lowest priority beyond one, only borrows. Room that the last 40 s say others will want again is kept free of it; it hires cheap machines only; where others lack room all the same, its tasks that save are stopped, as few as will do, with the time to save where the waiting job's start aim allows it. An array larger than a part can have placed at a time is dealt to all parts (25,000 tasks went to one). Fillers without aims: oldest job first.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 	Teams                 []Team
 	Finishes              map[string][]float64 // completion aims per class in seconds, tightest first
 	Deadlines             map[string][]float64 // aims per class in multiples of the job's deadline, likewise
+	Waits                 map[string]float64   // the tightest aim per class for the start of a task, in seconds
 	Report, Lease, Cancel time.Duration
 	ListLag               time.Duration
 	TxnOps, ValueBytes    int
@@ -79,6 +80,7 @@
 
 	quotas []*quota // by team
 	limits []Team   // by team
+	within []bool   // by team: it uses less than its guarantee
 
 	wokeAt        time.Duration // when it last went on after it had stood still, 0: never
 	deafUntil     time.Duration
@@ -123,8 +125,8 @@
 
 // Stats are counters for the operators.
 type Stats struct {
-	Placed, Finished, Requeued, Hired, Returned, Moves, Conflicts, Plans uint64
-	FetchSeconds, FetchGB                                                float64
+	Placed, Finished, Requeued, Stopped, Hired, Returned, Moves, Conflicts, Plans uint64
+	FetchSeconds, FetchGB                                                         float64
 }
 
 // cloudSaid notes whether the cloud answers.
@@ -165,6 +167,7 @@
 		c.quotas = append(c.quotas, &quota{team: t.Name, asks: map[int]heardAsk{}})
 		c.limits = append(c.limits, t)
 	}
+	c.within = make([]bool, len(c.limits))
 	for _, p := range cfg.Peers {
 		c.peers = append(c.peers, &peer{Peer: p, heard: -time.Hour})
 	}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -405,6 +405,7 @@
 	Scarce []Offer // machines that were refused lately
 	Show   []Shown
 	Used   map[string]Amount
+	Fill   map[string]float64 // cores that fillers may take, by type
 }
 
 // Offer names a kind of machine.
--- /dev/null
+++ b/internal/core/fillers.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Fillers are work that only borrows: that of teams without a guarantee, and work of
+// the lowest priority beyond its team's guarantee. They take what others leave. The
+// room that the recent past says others will want again is kept free of them, no
+// dear machine is hired for them, and where others lack room all the same, fillers
+// that save their progress give way. Without that, long tasks that came in a quiet
+// hour held the machines, and every later peak of urgent work waited for them.
+
+// seeTeams notes which teams use less than their guarantee.
+func (c *Core) seeTeams() {
+	if len(c.within) != len(c.limits) {
+		c.within = make([]bool, len(c.limits))
+	}
+	for t := range c.limits {
+		used, g := c.teamUse(t), c.limits[t].Guarantee
+		c.within[t] = used.Cores < g.Cores || used.Cards < g.Cards
+	}
+}
+
+// filler says whether a job only borrows.
+func (c *Core) filler(j *job) bool {
+	if j.team < 0 {
+		return false
+	}
+	return c.limits[j.team].Guarantee == (Amount{}) || j.spec.Priority == priorities-1 && !c.within[j.team]
+}
+
+// yields says whether a running task may be stopped at little loss for a job that
+// needs its room.
+func (c *Core) yields(t *task) bool {
+	j := t.job()
+	return j != nil && j.standing == Pending && t.phase == onHost && !t.halting && c.filler(j) &&
+		(j.spec.Checkpoint > 0 || t.state == Fetching)
+}
+
+// kept is what is kept free of fillers, in cores by pool of machine types.
+type kept struct {
+	pools []uint64
+	cores []float64
+}
+
+// fillRoom is what fillers may still take of the part's machines, by pool: what is
+// there, less what others use or are likely to want again, less what fillers have.
+func (c *Core) fillRoom(p *part) []float64 {
+	room := make([]float64, len(p.keep.pools))
+	others := make([]float64, len(room))
+	for _, h := range p.hostList() {
+		if !h.planned(c.now) || h.state != up {
+			continue
+		}
+		i := poolOf(p.keep.pools, h.typ)
+		room[i] += c.types[h.typ].Total.Cores
+		for _, t := range h.tasks {
+			if j := t.job(); j != nil && c.filler(j) {
+				room[i] -= t.need.Cores
+			} else {
+				others[i] += t.need.Cores
+			}
+		}
+	}
+	for i := range room {
+		room[i] -= max(others[i], p.keep.cores[i])
+	}
+	return room
+}
+
+// fillOn is what fillers may still take of a part's machines of a type, as its owner
+// last said or as was last reckoned here.
+func (c *Core) fillOn(p *part, typ int) float64 {
+	if !p.mine || !p.loaded {
+		if p.view == nil {
+			return 0
+		}
+		return p.view.Fill[c.types[typ].Name]
+	}
+	if p.keep.pools == nil {
+		return 0
+	}
+	if p.fill == nil || c.now > p.fillAt+500*time.Millisecond {
+		p.fill, p.fillAt = c.fillRoom(p), c.now
+	}
+	return p.fill[poolOf(p.keep.pools, typ)]
+}
+
+// fullCost is by how many seconds a part without room for fillers is worse for one
+// than a part with some.
+const fullCost = 30.0
+
+// beginWith is how many tasks of a filler that has waited far too long for its first
+// start at once, whatever is kept for others.
+const beginWith = 4
+
+// keeps says whether a filler leaves alone what is kept for others. One that has been
+// there for very long does not any more; it still comes after all others.
+func (c *Core) keeps(s *slice) bool {
+	return c.filler(s.job) && !c.overdue(s) && c.now <= s.job.since+endBy
+}
+
+// saveTime is how long a worker may take beyond a task's own time to save.
+const saveTime = 1.0
+
+// makeRoom stops fillers where their room lets tasks of the job start that would wait
+// otherwise, and returns how many. As few are stopped as will do, those that lose
+// least first; they save if the job can wait for that. What is being made is
+// remembered, so that no plan asks for the same room twice.
+func (c *Core) makeRoom(p *part, s *slice, tasks int) int {
+	j := s.job
+	s.making = slices.DeleteFunc(s.making, func(until time.Duration) bool { return c.now >= until })
+	tasks -= len(s.making)
+	if tasks <= 0 || c.filler(j) || j.spec.Gang || j.doubt > 0 {
+		return len(s.making)
+	}
+	type offer struct {
+		host    *host
+		victims []*task
+		free    Amount
+		image   bool
+		loss    float64
+	}
+	var offers []offer
+	for _, h := range p.hostList() {
+		if !h.usable(c.now) || h.typ < 0 || !c.allowedOn(j, c.kind(p.zone, h.typ, h.spot)) {
+			continue
+		}
+		o := offer{host: h, free: c.types[h.typ].Total}
+		for _, t := range h.tasks {
+			o.free = o.free.plus(t.need, -1)
+			if v := t.job(); c.yields(t) && (v.spec.Priority > j.spec.Priority || c.within[j.team]) {
+				o.victims = append(o.victims, t)
+				o.loss += c.lossOf(t)
+			}
+		}
+		if len(o.victims) == 0 {
+			continue
+		}
+		o.loss /= float64(len(o.victims))
+		_, o.image = h.images[j.image]
+		offers = append(offers, o)
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		if a.image != b.image {
+			if a.image {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.loss, b.loss)
+	})
+	made := 0
+	for _, o := range offers {
+		slices.SortFunc(o.victims, func(a, b *task) int {
+			return cmp.Or(cmp.Compare(c.lossOf(a), c.lossOf(b)), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Index, b.id.Index))
+		})
+		for made < tasks {
+			k, free := 0, o.free
+			for !j.spec.Need.plan().Within(free.plan()) && k < len(o.victims) {
+				free = free.plus(o.victims[k].need, 1)
+				k++
+			}
+			if k == 0 || !j.spec.Need.plan().Within(free.plan()) {
+				break // free without anybody's stopping is the plan's business
+			}
+			until := c.now + time.Second
+			for _, t := range o.victims[:k] {
+				leeway := c.leewayFor(j, t)
+				until = max(until, c.now+duration(leeway)+time.Second)
+				c.stats.Stopped++
+				c.note(1, "task stopped for a more urgent one", "job", t.id.Job, "task", t.id.Index, "host", o.host.name, "part", p.name, "for", j.id, "leeway", leeway)
+				c.halt(p, t, leeway)
+			}
+			o.victims, o.free = o.victims[k:], free.plus(j.spec.Need, -1)
+			s.making = append(s.making, until)
+			made++
+		}
+		if made >= tasks {
+			break
+		}
+	}
+	return len(s.making)
+}
+
+// lossOf is how many core seconds of work are lost if a task is stopped without
+// having time to save.
+func (c *Core) lossOf(t *task) float64 {
+	j := t.job()
+	if j == nil || t.state != Running {
+		return 0
+	}
+	ran := seconds(c.now - t.started)
+	if cp := j.spec.Checkpoint; cp > 0 {
+		ran = math.Mod(ran, cp)
+	}
+	return ran * t.need.Cores
+}
+
+// leewayFor is the time a task gets to save when it is stopped for job j: enough, if
+// j's starts are still in time after it, else none.
+func (c *Core) leewayFor(j *job, t *task) float64 {
+	v := t.job()
+	if v == nil || v.spec.Checkpoint <= 0 || t.state != Running {
+		return 0
+	}
+	need := v.spec.Save + saveTime
+	if within, ok := c.cfg.Waits[j.spec.Class]; ok && seconds(c.now-j.since)+need > within && seconds(c.now-j.since) <= within {
+		return 0
+	}
+	return need
+}
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -35,17 +35,27 @@
 	for _, h := range p.hosts {
 		c.meter(h)
 	}
+	c.seeTeams()
 	pools := c.pools()
 	demand := make([]float64, len(pools))
+	filled := make([]float64, len(pools)) // by fillers
+	firm := make([]float64, len(pools))   // by those that can't give way
 	for _, h := range p.hostList() {
 		if h.typ >= 0 {
 			for _, t := range h.tasks {
-				demand[poolOf(pools, h.typ)] += t.need.Cores
+				i := poolOf(pools, h.typ)
+				if j := t.job(); j == nil || !c.filler(j) {
+					demand[i] += t.need.Cores
+					continue
+				}
+				if filled[i] += t.need.Cores; !c.yields(t) {
+					firm[i] += t.need.Cores
+				}
 			}
 		}
 	}
 	for _, s := range p.slices {
-		if s.job.standing == Pending && s.job.team >= 0 && len(s.waiting) > 0 {
+		if s.job.standing == Pending && s.job.team >= 0 && len(s.waiting) > 0 && !c.filler(s.job) {
 			n := min(c.startable(s), c.room(p, s.job.team, s.job.spec.Need))
 			if typ := c.usualType(s.job); typ >= 0 {
 				demand[poolOf(pools, typ)] += float64(n) * s.job.spec.Need.Cores
@@ -80,6 +90,7 @@
 			c.hireFor(p, n, coming)
 		}
 	}
+	p.keep, p.fill = kept{pools, make([]float64, len(pools))}, nil
 	for i, types := range pools {
 		peak, mean := 0.0, 0.0
 		for _, s := range p.demand {
@@ -89,14 +100,15 @@
 			}
 		}
 		target := peak + mean*c.cfg.Knobs.SpareShare*min(1, math.Sqrt(chanceCores/max(mean, 1)))
-		if capacity := c.capacity(p, types); may && capacity < target && mean > 0 {
+		p.keep.cores[i] = target
+		if capacity := c.capacity(p, types) - firm[i]; may && capacity < target && mean > 0 {
 			lasting := target - capacity
 			if target > chanceCores {
 				lasting = mean*1.05 - capacity
 			}
 			c.hireRoom(p, types, target-capacity, lasting)
 		}
-		c.returnIdle(p, types, target)
+		c.returnIdle(p, types, target+filled[i])
 	}
 }
 
@@ -273,6 +285,16 @@
 			continue
 		}
 		boot := duration(c.types[typ].BootS)
+		if c.filler(n.job) && c.queueFor(p, priorities)[typ] < seconds(boot) {
+			return
+		}
+		if c.filler(n.job) && !o.Spot && n.job.spec.Spot {
+			// No dear machine for those who only fill room.
+			if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil && movable(n.job) {
+				p.export[n.job.id] = export{q, int(math.Ceil(short))}
+			}
+			return
+		}
 		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
 			// Dear machines only for what still waits when they are up. What has
 			// waited as long as that already is not put off by a reckoning: the
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -220,6 +220,9 @@
 // expectedEnd is when a task should leave its host. One that outlives its
 // estimate is expected to run on in proportion to its age, never to end now.
 func (c *Core) expectedEnd(t *task) time.Duration {
+	if t.halting {
+		return max(t.haltAt+duration(t.leeway), c.now+100*time.Millisecond)
+	}
 	est := 30.0
 	if j := t.job(); j != nil {
 		est = c.estimate(j)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -55,7 +55,7 @@
 	most := 0
 	now := seconds(c.now)
 	for _, q := range c.parts {
-		if q == p || !c.current(q) {
+		if q == p || !c.current(q) || c.usualType(j) < 0 {
 			continue
 		}
 		var devices []*plan.Device
@@ -63,11 +63,17 @@
 			devices = append(devices, d.Device)
 		}
 		fits, step := 0, c.step(j)
+		if c.filler(j) && c.fillOn(q, c.usualType(j)) < max(j.spec.Need.Cores, 1) {
+			continue
+		}
 		for _, d := range devices {
 			if step.Allowed(d.Kind) {
 				fits += d.FreeFor(step, now, now+1)
 			}
 		}
+		if c.filler(j) && j.spec.Need.Cores > 0 {
+			fits = min(fits, int(c.fillOn(q, c.usualType(j))/j.spec.Need.Cores))
+		}
 		if fits > most {
 			best, most = q, fits
 		}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -56,7 +56,10 @@
 	hireSeq  int
 	hiring   []*hire
 	scarce   map[Offer]time.Duration
-	demand   []sample
+	demand   []sample // of work that is no filler
+	keep     kept
+	fill     []float64 // what fillers may take, by pool, as of fillAt
+	fillAt   time.Duration
 	shortage []need
 	export   map[string]export // by job
 	loadedAt time.Duration
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -168,6 +168,12 @@
 	v := PartView{Zone: p.name, Token: p.token, Used: map[string]Amount{}, Dark: c.dark(p)}
 	v.Hosts, v.Images = c.groups(p)
 	v.Queue = c.backlog(p)
+	v.Fill = map[string]float64{}
+	for t := range c.types {
+		if room := c.fillOn(p, t); room > 0 {
+			v.Fill[c.types[t].Name] = math.Floor(room)
+		}
+	}
 	for o, until := range p.scarce {
 		if c.now < until {
 			v.Scarce = append(v.Scarce, o)
@@ -206,6 +212,9 @@
 		// One use stands for all: it ends when their mean does, by cores.
 		sum := 0.0
 		for _, t := range h.tasks {
+			if c.yields(t) {
+				continue // it gives way to what is dealt here
+			}
 			g.Used = g.Used.plus(t.need, 1)
 			sum += seconds(c.expectedEnd(t)-c.now) * t.need.Cores
 		}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -176,8 +176,9 @@
 	c.kinds[j.class] = classKinds{c.typesOf(j), c.now}
 }
 
-// hostDevice is a machine of a part owned here.
-func (c *Core) hostDevice(h *host) device {
+// hostDevice is a machine of a part owned here, with or without the room of those
+// who would give way.
+func (c *Core) hostDevice(h *host, yielded bool) device {
 	t := &c.types[h.typ]
 	now := seconds(c.now)
 	d := &plan.Device{Kind: c.kind(h.part.zone, h.typ, h.spot), Total: t.Total.plan(), Up: now,
@@ -200,6 +201,9 @@
 		d.Penalty = emptyCost // work that shares machines lets others go back
 	}
 	for _, t := range h.tasks {
+		if yielded && c.yields(t) {
+			continue
+		}
 		d.Uses = append(d.Uses, plan.Use{Start: 0, End: seconds(c.expectedEnd(t)), Amount: t.need.plan()})
 	}
 	return device{d, h.part.zone, h}
@@ -215,11 +219,11 @@
 
 func (c *Core) overdue(s *slice) bool {
 	age := c.now - s.job.since
-	return age > endBy || age > beginBy && len(s.tasks)+len(s.done) == 0
+	return age > endBy && !c.filler(s.job) || age > beginBy && len(s.tasks)+len(s.done) == 0
 }
 
 // ready lists the slices with waiting tasks in the order they are served:
-// those that wait far too long first, then by priority, teams within their
+// those that wait far too long first, fillers last, then by priority, teams within their
 // guarantee first, then by the time left to their aim or deadline. Jobs that can
 // no longer make it come after those that can: with more work than room, the
 // earliest deadline first would have all of them late by a little.
@@ -230,20 +234,20 @@
 			list = append(list, s)
 		}
 	}
-	within := make([]bool, len(c.limits))
-	for t := range c.limits {
-		used, g := c.teamUse(t), c.limits[t].Guarantee
-		within[t] = used.Cores < g.Cores || used.Cards < g.Cards
-	}
+	within := c.within
 	slots := c.slotsOf(p)
 	type key struct {
-		late, lost bool
-		by         float64
+		late, fills, lost bool
+		by                float64
 	}
 	keys := make(map[*slice]key, len(list))
 	for _, s := range list {
-		by, lost := c.startBy(s.job, float64(s.waiting.count())/max(slots(s.job), 1))
-		keys[s] = key{c.overdue(s), lost, by}
+		rounds, fills := float64(s.waiting.count())/max(slots(s.job), 1), c.filler(s.job)
+		if fills && !c.hasAims(s.job) {
+			rounds = 0 // the oldest first, so that some end instead of all being half done
+		}
+		by, lost := c.startBy(s.job, rounds)
+		keys[s] = key{c.overdue(s), fills, lost, by}
 	}
 	slices.SortFunc(list, func(a, b *slice) int {
 		x, y := a.job, b.job
@@ -261,7 +265,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(first(kx.late, ky.late), byPriority, first(within[x.team], within[y.team]), first(ky.lost, kx.lost),
+		return cmp.Or(first(kx.late, ky.late), first(ky.fills, kx.fills), byPriority, first(within[x.team], within[y.team]), first(ky.lost, kx.lost),
 			cmp.Compare(kx.by, ky.by), cmp.Compare(x.id, y.id))
 	})
 	return list
@@ -290,6 +294,11 @@
 	}
 }
 
+// hasAims says whether anybody expects the job to end by a certain time.
+func (c *Core) hasAims(j *job) bool {
+	return len(c.cfg.Finishes[j.spec.Class]) > 0 || j.spec.Deadline > 0
+}
+
 // startBy is when a job should have started to meet the tightest of its class's
 // aims and its deadlines that it still can, its tasks going through the machines
 // in so many rounds, and whether it can meet none any more. Without any it
@@ -345,6 +354,21 @@
 // what is free now or is planned when they have started.
 const ahead = 32
 
+// makesSense is how soon room must come by itself for nobody to be stopped for it.
+const makesSense = 1.0
+
+// shortFor is how long a slice may have started nothing before room that is about
+// to be free counts as none.
+const shortFor = 3 * time.Second
+
+func devicesOf(all []device) []*plan.Device {
+	out := make([]*plan.Device, len(all))
+	for i := range all {
+		out[i] = all[i].Device
+	}
+	return out
+}
+
 // Planning costs about this much per machine looked at and per task placed.
 // The pause after a plan is some thirty times that, which leaves a controller
 // with a seventh of a core three quarters of it for everything else.
@@ -361,6 +385,7 @@
 	if !c.mayStart() || len(c.types) == 0 {
 		return 0
 	}
+	c.seeTeams()
 	ready := c.ready(p)
 	if len(ready) == 0 {
 		return 0
@@ -370,12 +395,13 @@
 	var devices []*plan.Device
 	for _, h := range p.hostList() {
 		if h.planned(c.now) || h.typ >= 0 && h.joining(c.now) {
-			d := c.hostDevice(h)
+			d := c.hostDevice(h, false)
 			all, devices = append(all, d), append(devices, d.Device)
 		}
 	}
 	now := seconds(c.now)
 	looks, tasks := len(devices), 0
+	var left []float64 // for fillers, by pool
 	for _, s := range ready {
 		j := s.job
 		waiting, room := c.startable(s), c.room(p, j.team, j.spec.Need)
@@ -383,8 +409,7 @@
 		if room < waiting && c.quotas[j.team].known {
 			c.wantGrants(s)
 		}
-		// Placed tasks are listed one by one in the slice's value.
-		most := max(c.cfg.ValueBytes/64-len(s.tasks), 0)
+		most := max(c.placedAtOnce()-len(s.tasks), 0)
 		n := min(waiting, quota, most, 256)
 		if c.now < j.holdTo || waiting == 0 {
 			continue
@@ -394,20 +419,48 @@
 			continue // whole or not at all, and only once the last try is off its machines
 		}
 		var starts []plan.Placement
-		later, after := 0, 60.0
+		later, inTime, after := 0, 0, 60.0
 		looks += len(devices)
 		step := c.step(j)
 		all, devices := all, devices
 		if fit := c.avoiding(j, all); len(fit) < len(all) {
-			all, devices = fit, make([]*plan.Device, len(fit))
-			for i := range fit {
-				devices[i] = fit[i].Device
+			all, devices = fit, devicesOf(fit)
+		}
+		keeps := c.keeps(s) && j.spec.Need.Cores > 0
+		if keeps && p.keep.pools == nil {
+			continue // a new owner has yet to see what others need
+		}
+		if keeps {
+			if left == nil {
+				left = c.fillRoom(p) // those who come first have been placed
+			}
+			sum := 0.0
+			all = slices.DeleteFunc(slices.Clone(all), func(d device) bool {
+				return left[poolOf(p.keep.pools, d.host.typ)] < j.spec.Need.Cores
+			})
+			devices = devicesOf(all)
+			for i := range left {
+				sum += max(left[i], 0)
 			}
+			n = min(n, int(sum/j.spec.Need.Cores))
+		} else if c.filler(j) && c.overdue(s) {
+			n = min(n, beginWith)
 		}
 		visit := func(pl plan.Placement) bool {
-			if !j.spec.Gang && (pl.Start > now+soon || all[pl.Device].host.state != up) {
+			h := all[pl.Device].host
+			if keeps && h.state == up {
+				room := &left[poolOf(p.keep.pools, h.typ)]
+				if *room < j.spec.Need.Cores {
+					return true
+				}
+				*room -= j.spec.Need.Cores
+			}
+			if !j.spec.Gang && (pl.Start > now+soon || h.state != up) {
 				later++
 				after = min(after, pl.Start-now)
+				if pl.Start <= now+makesSense {
+					inTime++
+				}
 				return later < ahead
 			}
 			starts = append(starts, pl)
@@ -439,7 +492,20 @@
 		for k, i := range s.waiting.first(len(starts)) {
 			c.place(p, s, i, all[starts[k].Device].host)
 		}
-		if late := min(waiting, quota) - len(starts); late > 0 && j.doubt == 0 {
+		late := min(waiting, quota, most) - len(starts)
+		s.making = s.making[min(len(starts), len(s.making)):]
+		if late <= 0 || len(starts) > 0 {
+			s.shortAt = 0
+		} else if s.shortAt == 0 {
+			s.shortAt = c.now
+		}
+		if s.shortAt > 0 && c.now > s.shortAt+shortFor {
+			inTime = 0 // more urgent work takes it each time
+		}
+		if late > inTime && j.doubt == 0 {
+			late -= max(c.makeRoom(p, s, late-inTime)-inTime, 0)
+		}
+		if late > 0 && j.doubt == 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
 		}
 	}
@@ -449,6 +515,10 @@
 	return time.Duration(looks)*pausePerLook + time.Duration(tasks)*pausePerPlace
 }
 
+// placedAtOnce is how many tasks of a slice may be placed at a time: they are listed
+// one by one in its value.
+func (c *Core) placedAtOnce() int { return c.cfg.ValueBytes / 64 }
+
 // allNow says whether every task of a gang can start now.
 func (c *Core) allNow(starts []plan.Placement, n int, all []device) bool {
 	for _, pl := range starts {
@@ -528,7 +598,7 @@
 		p.devices, p.devicesAt = nil, c.now
 		for _, h := range p.hostList() {
 			if h.planned(c.now) {
-				p.devices = append(p.devices, c.hostDevice(h))
+				p.devices = append(p.devices, c.hostDevice(h, true))
 			}
 		}
 	}
@@ -602,6 +672,15 @@
 	for z, p := range c.parts {
 		copy(queues[z*len(c.types):], c.queueFor(p, spec.Priority))
 	}
+	if c.filler(j) {
+		for z, p := range c.parts {
+			for t := range c.types {
+				if c.fillOn(p, t) < spec.Need.Cores {
+					queues[z*len(c.types)+t] += fullCost
+				}
+			}
+		}
+	}
 	step.Cost = func(kind int) float64 { return plain(kind) + queues[kind/2] }
 	byZone := make([][]device, len(c.parts))
 	for z, p := range c.parts {
@@ -749,11 +828,27 @@
 		sample -= got
 		left -= got
 	}
-	// The rest of a large job in the same proportions, within the limit.
-	dealt := n - left
+	// The rest of a large job in the same proportions, within the limit, as long as a
+	// part can have that many placed at a time; what is beyond it would only wait there
+	// and goes to all parts.
+	dealt, at := n-left, c.placedAtOnce()
 	for z := range counts {
 		if dealt > 0 && left > 0 && counts[z] > 0 {
-			more := min(left, (n-dealt)*counts[z]/dealt, most-counts[z])
+			more := min(left, (n-dealt)*counts[z]/dealt, most-counts[z], max(at-counts[z], 0))
+			counts[z] += more
+			left -= more
+		}
+	}
+	usable := 0
+	for z := range counts {
+		if len(byZone[z]) > 0 {
+			usable++
+		}
+	}
+	even := left / max(usable, 1)
+	for z := range counts {
+		if len(byZone[z]) > 0 && left > 0 {
+			more := min(even, most-counts[z])
 			counts[z] += more
 			left -= more
 		}
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -21,6 +21,8 @@
 	moveAt  time.Duration
 	checkAt time.Duration // when to look again whether the whole job is done
 	busy    bool
+	shortAt time.Duration   // since when none of its waiting tasks could start
+	making  []time.Duration // room being made for its tasks, each until when at most
 }
 
 type outcome struct {
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -151,3 +151,104 @@
 	job.Broken = false // its image was repaired, say
 	ends(t, w, job, 2*time.Minute)
 }
+
+func TestWorkThatOnlyFillsRoomGivesWayAndKeepsItsProgress(t *testing.T) {
+	w := oneController(t, 65, func(c *core.Config) {
+		*c = guests(*c)
+		c.Waits = map[string]float64{"urgent": 2, "work": 20}
+	})
+	sweep := spec("job-1", "guest", 60, 4)
+	sweep.Class, sweep.Priority, sweep.Checkpoint, sweep.Save, sweep.Estimate = "sweep", 3, 20, 2, 100
+	filler := w.Submit(sweep, 100*time.Second)
+	// Every cheap machine that there is: 6 small and 6 large ones hold 30 tasks.
+	require.True(t, w.Until(90*time.Second, started(w, "job-1", 30)))
+	dear := 0
+	for _, k := range w.Workers {
+		if !k.spot {
+			dear++
+		}
+	}
+	assert.Zero(t, dear, "none but cheap machines are hired for it")
+	room := w.Cloud.Room
+	w.Cloud.Room = map[string]int{} // nothing more to be had
+	w.Run(10 * time.Second)
+	began := func(j *Job, n int) func() bool { return func() bool { return j.Starts >= n } }
+	u := spec("job-2", "red", 8, 4)
+	u.Class, u.Priority = "urgent", 1
+	urgent := w.Submit(u, 10*time.Second)
+	require.True(t, w.Until(2500*time.Millisecond, began(urgent, 8)), "room is made at once: %d", urgent.Starts)
+	n := spec("job-3", "blue", 4, 4)
+	n.Priority = 2
+	normal := w.Submit(n, 10*time.Second)
+	require.True(t, w.Until(12*time.Second, began(normal, 4)), "room is made once they have saved: %d", normal.Starts)
+	saved := 0
+	for _, p := range filler.Saved {
+		if p > 0 && p%(20*time.Second) != 0 {
+			saved++
+		}
+	}
+	assert.Positive(t, saved, "those had the time to save all")
+	stopped := filler.Starts
+	ends(t, w, urgent, 60*time.Second)
+	ends(t, w, normal, 60*time.Second)
+	w.Cloud.Room = room
+	ends(t, w, filler, 9*time.Minute)
+	// Twelve tasks needed room, so about as many had to go, each once.
+	assert.LessOrEqual(t, filler.Starts, 60+20)
+	assert.GreaterOrEqual(t, stopped, 30)
+}
+
+func TestFillersLeaveAloneWhatOthersWantAgain(t *testing.T) {
+	w := oneController(t, 66, func(c *core.Config) { *c = guests(*c) })
+	n := 10
+	burst := func() *Job {
+		n++
+		s := spec(fmt.Sprintf("job-%d", n), "red", 8, 4)
+		return w.Submit(s, 8*time.Second)
+	}
+	ends(t, w, burst(), 90*time.Second)
+	sweep := spec("job-1", "guest", 100, 2) // saves nothing: whoever meets it must wait
+	sweep.Class, sweep.Priority, sweep.Estimate = "sweep", 3, 60
+	w.Submit(sweep, 60*time.Second)
+	for range 5 {
+		w.Run(10 * time.Second)
+		job := burst()
+		require.True(t, w.Until(3*time.Second, func() bool { return job.Starts == 8 }), "%d started", job.Starts)
+		ends(t, w, job, 30*time.Second)
+	}
+	assert.Positive(t, w.Jobs["job-1"].Starts, "what is left they may have")
+}
+
+func TestAHugeArrayGoesToAllPartsAndFillersAreNotMovedAbout(t *testing.T) {
+	w := New(67, guests(Settings()))
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Run(3 * time.Second)
+	huge := spec("job-1", "guest", 25000, 0.5)
+	huge.Class, huge.Priority, huge.Estimate = "scan", 3, 2
+	job := w.Submit(huge, 2*time.Second)
+	require.True(t, w.Until(10*time.Second, func() bool { return job.Accepted }))
+	parts := 0
+	for _, n := range w.Nodes {
+		if e, ok := n.Core.Explain("job-1"); ok {
+			for _, p := range e.Parts {
+				if p.Here && p.Waiting > 5000 {
+					parts++
+				}
+			}
+		}
+	}
+	assert.Equal(t, 3, parts)
+	own := w.Submit(spec("job-2", "red", 8, 2), 5*time.Second)
+	ends(t, w, own, 60*time.Second)
+	for i := range 40 { // many of them find no room
+		s := spec(fmt.Sprintf("job-%d", 100+i), "guest", 1, 4)
+		s.Class, s.Priority, s.Estimate = "check", 3, 100
+		w.Submit(s, 100*time.Second)
+	}
+	w.Run(60 * time.Second)
+	moves := uint64(0)
+	for _, n := range w.Nodes {
+		moves += n.Core.Stats().Moves
+	}
+	assert.Less(t, moves, uint64(600), "tasks moved")
+}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -15,6 +15,7 @@
 	Broken    bool // submitted with a mistake: it fails on every machine
 	Starts    int
 	Finished  map[int]bool
+	Saved     map[int]time.Duration // progress by task
 	Accepted  bool
 	Told      core.Standing
 	Cancelled time.Duration // when the user was told, 0: not
@@ -25,6 +26,8 @@
 	ToldDone  time.Duration
 }
 
+func (j *Job) save(i int, progress time.Duration) { j.Saved[i] = max(j.Saved[i], progress) }
+
 // Referee knows the rules and notes where they are broken.
 type Referee struct {
 	w      *World
@@ -272,7 +275,7 @@
 // Submit has a user submit a job, again and again until it is taken, and poll
 // it until it is over.
 func (w *World) Submit(spec core.Spec, run time.Duration) *Job {
-	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}, Came: w.Now}
+	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}, Saved: map[int]time.Duration{}, Came: w.Now}
 	w.Jobs[spec.ID] = job
 	var try func()
 	try = func() {
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -123,6 +123,10 @@
 		cfg.Zones = []string{"a", "b", "c", "d", "e", "f", "g"}
 		controllers = []string{"a", "b", "b"}
 	}
+	visitors := seed%4 == 1 // a guest team, work that saves, jobs with mistakes
+	if visitors {
+		cfg = guests(cfg)
+	}
 	w := NewWith(seed, cfg, controllers...)
 	if log != nil {
 		w.Log = log
@@ -191,9 +195,26 @@
 		case 4:
 			s.Gang, s.Tasks = true, 1+r.IntN(3)
 		}
-		job := w.Submit(s, time.Duration(2000+r.IntN(30000))*time.Millisecond)
+		run := time.Duration(2000+r.IntN(30000)) * time.Millisecond
+		broken := false
+		if visitors {
+			if r.IntN(3) == 0 {
+				s.Team, s.Class = "guest", "visit"
+			}
+			if r.IntN(3) == 0 {
+				s.Priority, s.Checkpoint, s.Save = 3, 5, float64(r.IntN(3))
+				run *= 2
+			}
+			if r.IntN(8) == 0 {
+				s.Tasks *= 10
+			}
+			broken = r.IntN(8) == 0
+		}
+		job := w.Submit(s, run)
 		jobs = append(jobs, job)
-		if r.IntN(5) == 0 {
+		if job.Broken = broken; broken {
+			w.After(time.Duration(r.IntN(120))*time.Second, func() { w.Stop(job) })
+		} else if r.IntN(5) == 0 {
 			w.After(time.Duration(r.IntN(40))*time.Second, func() { w.Stop(job) })
 		}
 		w.After(time.Duration(1+r.IntN(9))*time.Second, arrive)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -40,6 +40,7 @@
 	state   int
 	cause   int
 	started time.Duration
+	from    time.Duration // progress saved before it started
 	epoch   int
 }
 
@@ -90,6 +91,7 @@
 
 func (k *Worker) forget() {
 	for id, t := range k.tasks {
+		k.bookmark(t)
 		k.w.Referee.off(id, k)
 		t.epoch++
 	}
@@ -208,13 +210,45 @@
 		case o.Verb == core.Launch && !same:
 			k.launch(o, t)
 		case o.Verb == core.Halt && same && t.state != core.Ended:
-			k.end(t, core.Stopped)
+			k.halt(t, o.Leeway)
 		case o.Verb == core.Clear && same && t.state == core.Ended:
 			delete(k.tasks, o.Task)
 		}
 	}
 }
 
+// halt stops a task. One that saves does so when it has the time.
+func (k *Worker) halt(t *running, leeway float64) {
+	job := k.w.Jobs[t.id.Job]
+	if job != nil && job.Spec.Checkpoint > 0 && t.state == core.Running && leeway >= job.Spec.Save {
+		t.state, k.dirty = core.Saving, true
+		t.epoch++
+		saved := t.from + k.ran(t)
+		k.step(t, t.epoch, time.Duration(job.Spec.Save*float64(time.Second)), func() {
+			job.save(t.id.Index, saved)
+			k.end(t, core.Stopped)
+		})
+		return
+	}
+	if t.state == core.Saving && leeway > 0 {
+		return
+	}
+	k.end(t, core.Stopped)
+}
+
+// ran is how much of its run time a running task has behind it since it started.
+func (k *Worker) ran(t *running) time.Duration {
+	return time.Duration(float64(k.w.Now-t.started) / k.Slow)
+}
+
+// bookmark keeps what a task saves by itself.
+func (k *Worker) bookmark(t *running) {
+	if job := k.w.Jobs[t.id.Job]; job != nil && job.Spec.Checkpoint > 0 && t.state == core.Running {
+		each := time.Duration(job.Spec.Checkpoint * float64(time.Second))
+		job.save(t.id.Index, t.from+k.ran(t)/each*each)
+	}
+}
+
 func (k *Worker) launch(o core.Order, old *running) {
 	t := &running{id: o.Task, attempt: o.Attempt, state: core.Fetching}
 	job := k.w.Jobs[o.Task.Job]
@@ -262,7 +296,8 @@
 		if job.Spec.Service {
 			return
 		}
-		k.step(t, epoch, time.Duration(float64(job.Run)*k.Slow), func() {
+		t.from = job.Saved[o.Task.Index]
+		k.step(t, epoch, time.Duration(float64(job.Run-t.from)*k.Slow), func() {
 			job.Finished[o.Task.Index] = true
 			k.end(t, core.Done)
 		})
@@ -289,6 +324,7 @@
 func (k *Worker) end(t *running, cause int) {
 	k.w.Log("%v %s ends %v attempt %d cause %d", k.w.Now, k.name, t.id, t.attempt, cause)
 	if t.state == core.Running || t.state == core.Saving {
+		k.bookmark(t)
 		k.w.Referee.off(t.id, k)
 	}
 	t.state, t.cause, k.dirty = core.Ended, cause, true
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -118,7 +118,7 @@
 	d := &s.Deployment
 	sec := duration
 	cfg := core.Config{
-		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{},
+		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{}, Waits: map[string]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
 		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, Changes: d.State.WriteRPS, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
@@ -136,6 +136,10 @@
 		switch {
 		case ob.Kind == "finished" && ob.WithinS > 0:
 			cfg.Finishes[ob.Class] = append(cfg.Finishes[ob.Class], ob.WithinS)
+		case ob.Kind == "wait" && ob.WithinS > 0:
+			if was, ok := cfg.Waits[ob.Class]; !ok || ob.WithinS < was {
+				cfg.Waits[ob.Class] = ob.WithinS
+			}
 		case ob.Kind == "deadline" && ob.Times > 0:
 			cfg.Deadlines[ob.Class] = append(cfg.Deadlines[ob.Class], ob.Times)
 		}
