A job of several parts is done when it is; fillers that can't move get machines in time

The owner that found all slices complete wrote that only if nothing was being recorded at that moment, and in a part with 25,000 short tasks something always is; it looked again 1 s later, for ever. Now such a job waits its turn in the next transaction.

--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -285,15 +285,22 @@
 			continue
 		}
 		boot := duration(c.types[typ].BootS)
-		if c.filler(n.job) && c.queueFor(p, priorities)[typ] < seconds(boot) {
-			return
-		}
-		if c.filler(n.job) && !o.Spot && n.job.spec.Spot {
-			// No dear machine for those who only fill room.
-			if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil && movable(n.job) {
-				p.export[n.job.id] = export{q, int(math.Ceil(short))}
+		if c.filler(n.job) {
+			s := p.slices[n.job.id]
+			if s == nil || c.now < n.job.since+boot && c.queueFor(p, priorities)[typ] < seconds(boot) {
+				return
+			}
+			if !o.Spot && n.job.spec.Spot {
+				// No dear machine for those who only fill room, as long as they can wait.
+				if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil && movable(n.job) {
+					p.export[n.job.id] = export{q, int(math.Ceil(short))}
+					return
+				}
+				if c.keeps(s) {
+					return
+				}
+				short = min(short, beginWith)
 			}
-			return
 		}
 		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
 			// Dear machines only for what still waits when they are up. What has
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -33,14 +33,15 @@
 
 	homeUp time.Duration // since when the home controller is seen well
 
-	hosts  map[string]*host
-	order  []*host                  // the same by name
-	toSend []*host                  // hosts with orders
-	gone   map[string]time.Duration // machines whose return was confirmed
-	slices map[string]*slice
-	dirty  map[string]*slice
-	later  map[string]time.Duration // slices with ends to record by then
-	used   []Amount                 // by team
+	hosts     map[string]*host
+	order     []*host                  // the same by name
+	toSend    []*host                  // hosts with orders
+	gone      map[string]time.Duration // machines whose return was confirmed
+	slices    map[string]*slice
+	dirty     map[string]*slice
+	finishing []*finish                // jobs of several parts to be set done
+	later     map[string]time.Duration // slices with ends to record by then
+	used      []Amount                 // by team
 
 	committing bool
 	refreshing map[string]bool
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -464,13 +464,13 @@
 			p.dirty[id] = s
 		}
 	}
-	if len(p.dirty) == 0 || p.committing || p.claiming || p.yielding || c.now < p.retryAt || len(p.refreshing) > 0 {
+	if len(p.dirty)+len(p.finishing) == 0 || p.committing || p.claiming || p.yielding || c.now < p.retryAt || len(p.refreshing) > 0 {
 		return
 	}
 	w := &writing{part: p, slices: map[string]*slice{}, settled: map[*slice]map[int]outcome{},
 		quotas: map[*quota]map[string]grant{}}
 	w.txn.Guards = []Guard{{p.key(), p.stamp}}
-	size := 0
+	size := c.finishJobs(p, w)
 	for _, id := range p.dirtyOrder() {
 		s := p.dirty[id]
 		if len(w.txn.Apply)+3 > c.recordOps() || len(w.txn.Guards)+4 > 4*c.cfg.TxnOps || size > 40<<10 {
@@ -558,6 +558,49 @@
 	return len(value)
 }
 
+// finish is a job of several parts whose slices were all seen complete.
+type finish struct {
+	slice  *slice
+	stamp  uint64 // of the job
+	others []Guard
+}
+
+// finishJobs adds such jobs to a transaction. They wait their turn like anything else
+// that is recorded: written only if nothing was under way when the last slice was
+// read, they were not written for minutes in parts where something always is.
+func (c *Core) finishJobs(p *part, w *writing) int {
+	size := 0
+	kept := p.finishing[:0]
+	for _, f := range p.finishing {
+		s := f.slice
+		j := s.job
+		if p.slices[j.id] != s || j.standing != Pending || j.stamp != f.stamp || !s.complete() || len(s.settled) > 0 {
+			s.busy, s.checkAt = false, 0
+			continue
+		}
+		drops := min(len(f.others), c.cfg.TxnOps-2) // the rest is dropped by its owners
+		if n := len(w.txn.Apply); n > 0 && (n+2+drops > c.recordOps() || len(w.txn.Guards)+2+len(f.others) > 4*c.cfg.TxnOps || size > 40<<10) {
+			kept = append(kept, f)
+			continue
+		}
+		key, value := sliceKey(p.name, j.id), j.value(standingDone)
+		size += len(value)
+		w.txn.Guards = append(append(w.txn.Guards, Guard{j.key(), j.stamp}, Guard{key, s.stamp}), f.others...)
+		w.txn.Apply = append(w.txn.Apply, Set{Key: j.key(), Value: value}, Set{Key: key})
+		for _, o := range f.others[:drops] {
+			w.txn.Apply = append(w.txn.Apply, Set{Key: o.Key})
+		}
+		w.done = append(w.done, j)
+		w.drops = append(w.drops, j.id)
+		w.news = append(w.news, Item{Key: j.key(), Value: value})
+		w.slices[j.id], w.settled[s] = s, nil
+		s.busy = false
+		delete(p.dirty, j.id)
+	}
+	p.finishing = kept
+	return size
+}
+
 // finishTogether sets a job of several parts done once every slice is
 // complete. Each owner looks after its own slice is recorded complete, so the
 // last of them sees all.
@@ -577,11 +620,7 @@
 		if j.standing != Pending || j.stamp != jr.Item.Stamp || !s.complete() {
 			return
 		}
-		w := &writing{part: p, slices: map[string]*slice{id: s}, done: []*job{j}, drops: []string{id}}
-		value := j.value(standingDone)
-		w.news = []Item{{Key: j.key(), Value: value}}
-		w.txn.Guards = []Guard{{p.key(), p.stamp}, {j.key(), j.stamp}, {sliceKey(p.name, id), s.stamp}}
-		w.txn.Apply = []Set{{Key: j.key(), Value: value}, {Key: sliceKey(p.name, id)}}
+		f := &finish{slice: s, stamp: j.stamp}
 		left, all := 0, true
 		for _, zone := range sorted(j.split) {
 			if zone == p.name {
@@ -596,19 +635,13 @@
 					len(v.Waiting) > 0 || len(v.Placed) > 0 {
 					all = false
 				} else {
-					w.txn.Guards = append(w.txn.Guards, Guard{key, r.Item.Stamp})
-					if len(w.txn.Apply) < c.cfg.TxnOps { // the rest is dropped by its owners
-						w.txn.Apply = append(w.txn.Apply, Set{Key: key})
-					}
-				}
-				if left > 0 || !all || !p.mine || p.token != token || p.slices[id] != s || s.job.standing != Pending {
-					return
+					f.others = append(f.others, Guard{key, r.Item.Stamp})
 				}
-				if p.committing || p.yielding || len(p.refreshing) > 0 {
-					s.checkAt = 0
+				if left > 0 || !all || !p.mine || p.token != token || p.slices[id] != s {
 					return
 				}
-				c.write(w)
+				s.busy = true // until it is written
+				p.finishing = append(p.finishing, f)
 			})
 		}
 	})
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -252,3 +252,39 @@
 	}
 	assert.Less(t, moves, uint64(600), "tasks moved")
 }
+
+func TestAJobOfSeveralPartsIsDoneSoonThoughItsOwnersAlwaysHaveSomethingToRecord(t *testing.T) {
+	w := day(t, 68)
+	var warm []*Job
+	for _, z := range w.Cfg.Zones {
+		s := spec("job-9"+z, "red", 4, 2)
+		s.Zone = z
+		warm = append(warm, w.Submit(s, 5*time.Second))
+	}
+	for _, j := range warm {
+		ends(t, w, j, time.Minute)
+	}
+	// Transactions take as long as they do when the changes are short, and in every
+	// part there is one under way at any time.
+	w.Store.Slow = 300 * time.Millisecond
+	n := 100
+	var stream func()
+	stream = func() {
+		n++
+		s := spec(fmt.Sprintf("job-%d", n), "red", 1, 0.25)
+		s.Zone = w.Cfg.Zones[n%3]
+		w.Submit(s, time.Second)
+		w.After(80*time.Millisecond, stream)
+	}
+	stream()
+	w.Run(2 * time.Second)
+	var jobs []*Job
+	for i := range 6 {
+		s := spec(fmt.Sprintf("job-%d", 1+i), "blue", 2, 1)
+		s.Apart = true
+		jobs = append(jobs, w.Submit(s, 5*time.Second))
+	}
+	for _, j := range jobs {
+		ends(t, w, j, 25*time.Second)
+	}
+}
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -22,6 +22,8 @@
 	// RPS, if set, is how many requests a second it takes from all controllers;
 	// each keeps to its share, as the real client does.
 	RPS float64
+	// Slow is how long a transaction takes.
+	Slow time.Duration
 	// Keep, if set, is how many changes it keeps for those who follow.
 	Keep int
 	lost uint64 // the newest change that it keeps no more
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -378,7 +378,9 @@
 	}
 	switch op := c.Op.(type) {
 	case core.CommitOp:
-		store(wait, core.CommitResult{}, func(a func(any)) { w.Store.commit(n.Name, op.Txn, a) })
+		store(wait, core.CommitResult{}, func(a func(any)) {
+			w.After(w.Store.Slow, func() { w.Store.commit(n.Name, op.Txn, a) })
+		})
 	case core.ReadOp:
 		store(wait, core.ReadResult{}, func(a func(any)) { w.Store.read(n.Name, op.Key, a) })
 	case core.ListOp:
