--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -47,27 +47,32 @@
 	cores []float64
 }
 
+// fillShare is the part of the machines that is not kept free of fillers however much
+// others want: small work of theirs need not wait for a quiet hour.
+const fillShare = 1.0 / 16
+
 // fillRoom is what fillers may still take of the part's machines, by pool: what is
 // there, less what others use or are likely to want again, less what fillers have.
 func (c *Core) fillRoom(p *part) []float64 {
-	room := make([]float64, len(p.keep.pools))
-	others := make([]float64, len(room))
+	total, fillers, others := make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools))
 	for _, h := range p.hostList() {
 		if !h.planned(c.now) || h.state != up {
 			continue
 		}
 		i := poolOf(p.keep.pools, h.typ)
-		room[i] += c.types[h.typ].Total.Cores
+		total[i] += c.types[h.typ].Total.Cores
 		for _, t := range h.tasks {
 			if j := t.job(); j != nil && c.filler(j) {
-				room[i] -= t.need.Cores
+				fillers[i] += t.need.Cores
 			} else {
 				others[i] += t.need.Cores
 			}
 		}
 	}
+	room := make([]float64, len(total))
 	for i := range room {
-		room[i] -= max(others[i], p.keep.cores[i])
+		kept := max(others[i], min(p.keep.cores[i], total[i]*(1-fillShare)))
+		room[i] = total[i] - kept - fillers[i]
 	}
 	return room
 }
