--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -109,6 +109,23 @@
 	return c.filler(s.job) && !c.overdue(s) && c.now <= s.job.since+endBy
 }
 
+// yielding lists the machines with tasks that would give way.
+func (c *Core) yielding(p *part) []*host {
+	out := []*host{}
+	for _, h := range p.hostList() {
+		if h.typ < 0 || !h.usable(c.now) {
+			continue
+		}
+		for _, t := range h.tasks {
+			if c.yields(t) {
+				out = append(out, h)
+				break
+			}
+		}
+	}
+	return out
+}
+
 // saveTime is how long a worker may take beyond a task's own time to save.
 const saveTime = 1.0
 
@@ -116,7 +133,7 @@
 // otherwise, and returns how many. As few are stopped as will do, those that lose
 // least first; they save if the job can wait for that. What is being made is
 // remembered, so that no plan asks for the same room twice.
-func (c *Core) makeRoom(p *part, s *slice, tasks int) int {
+func (c *Core) makeRoom(p *part, s *slice, tasks int, yielding []*host) int {
 	j := s.job
 	s.making = slices.DeleteFunc(s.making, func(until time.Duration) bool { return c.now >= until })
 	tasks -= len(s.making)
@@ -131,8 +148,8 @@
 		loss    float64
 	}
 	var offers []offer
-	for _, h := range p.hostList() {
-		if !h.usable(c.now) || h.typ < 0 || !c.allowedOn(j, c.kind(p.zone, h.typ, h.spot)) {
+	for _, h := range yielding {
+		if !h.usable(c.now) || !c.allowedOn(j, c.kind(p.zone, h.typ, h.spot)) {
 			continue
 		}
 		o := offer{host: h, free: c.types[h.typ].Total}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -401,7 +401,8 @@
 	}
 	now := seconds(c.now)
 	looks, tasks := len(devices), 0
-	var left []float64 // for fillers, by pool
+	var left []float64   // for fillers, by pool
+	var yielding []*host // with fillers that may be stopped
 	for _, s := range ready {
 		j := s.job
 		waiting, room := c.startable(s), c.room(p, j.team, j.spec.Need)
@@ -503,7 +504,11 @@
 			inTime = 0 // more urgent work takes it each time
 		}
 		if late > inTime && j.doubt == 0 {
-			late -= max(c.makeRoom(p, s, late-inTime)-inTime, 0)
+			if yielding == nil {
+				yielding = c.yielding(p)
+			}
+			looks += len(yielding)
+			late -= max(c.makeRoom(p, s, late-inTime, yielding)-inTime, 0)
 		}
 		if late > 0 && j.doubt == 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
