--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -76,6 +76,14 @@
 	return fmt.Sprintf("%.1fs ago", s)
 }
 
+// orNone prints a guarantee or limit, of which 0 means that there is none.
+func orNone(v float64) string {
+	if v == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%g", v)
+}
+
 func printStatus(out io.Writer, s *core.Status) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "%s in %s\thealthy: %t\tstore seen: %s\tcloud seen: %s\n", s.Label, s.Zone, s.Healthy, ago(s.Store.AgeS), ago(s.Cloud.AgeS))
@@ -100,7 +108,7 @@
 	}
 	fmt.Fprintln(w, "\nTEAM\tCORES\tGUARANTEE\tLIMIT")
 	for _, t := range s.Teams {
-		fmt.Fprintf(w, "%s\t%g\t%g\t%g\n", t.Team, t.Cores, t.Guarantee, t.Limit)
+		fmt.Fprintf(w, "%s\t%g\t%s\t%s\n", t.Team, t.Cores, orNone(t.Guarantee), orNone(t.Limit))
 	}
 	fmt.Fprintln(w, "\nCLASS (parts owned here)\tWAITING\tON MACHINES")
 	for _, c := range s.Classes {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -125,8 +125,8 @@
 
 // Stats are counters for the operators.
 type Stats struct {
-	Placed, Finished, Requeued, Stopped, Hired, Returned, Moves, Conflicts, Plans uint64
-	FetchSeconds, FetchGB                                                         float64
+	Placed, Finished, Requeued, Stopped, Failed, Hired, Returned, Moves, Conflicts, Plans uint64
+	FetchSeconds, FetchGB                                                                 float64
 }
 
 // cloudSaid notes whether the cloud answers.
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -85,6 +85,7 @@
 	}
 	c.note(1, "task failed", "job", j.id, "task", t.id.Index, "host", h.name, "attempt", t.attempt)
 	j.failures++
+	c.stats.Failed++
 	j.holdTo = max(j.holdTo, c.now+300*time.Millisecond)
 	if h.blame == nil {
 		h.blame = map[string]int{}
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -314,3 +314,57 @@
 		})
 	}
 }
+
+func TestAStormOfQuestionsWhileAControllerStandsStill(t *testing.T) {
+	w := New(70, Settings())
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Store.RPS = 30 // for all three controllers
+	w.Run(3 * time.Second)
+	var jobs []*Job
+	for i := range 30 {
+		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 3, 2), 20*time.Second))
+	}
+	accepted := func() bool {
+		for _, j := range jobs {
+			if !j.Accepted {
+				return false
+			}
+		}
+		return true
+	}
+	require.True(t, w.Until(time.Minute, accepted))
+	ok, slow := 0, 0
+	var storm func()
+	end := w.Now + 40*time.Second
+	storm = func() { // 300 questions a second
+		if w.Now > end {
+			return
+		}
+		for range 30 {
+			id, asked := jobs[w.Rng.IntN(len(jobs))].Spec.ID, w.Now
+			w.user(w.anyNode(), id, func(req uint64) any { return core.Poll{Req: req, ID: id} }, func(status int) {
+				switch {
+				case status == 200:
+					ok++
+				case status == 503 && w.Now < asked+3*time.Second:
+					// Told at once to come again.
+				default:
+					slow++
+				}
+			})
+		}
+		w.After(100*time.Millisecond, storm)
+	}
+	storm()
+	w.Run(5 * time.Second)
+	frozen := w.Nodes[1]
+	frozen.Freeze(15 * time.Second)
+	w.Run(20 * time.Second)
+	next := w.Submit(spec("job-90", "red", 2, 2), 5*time.Second)
+	ends(t, w, next, 40*time.Second) // submissions and starts have not drowned
+	for _, j := range jobs {
+		ends(t, w, j, 2*time.Minute)
+	}
+	assert.Greater(t, ok, 6000, "most are answered")
+	assert.Less(t, slow, 2500, "only those who asked the one that stood still")
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -63,6 +63,8 @@
 		{"tasks_placed_total", "Tasks placed on machines.", float64(stats.Placed)},
 		{"tasks_finished_total", "Tasks completed.", float64(stats.Finished)},
 		{"tasks_requeued_total", "Tasks that went back to the queue.", float64(stats.Requeued)},
+		{"tasks_stopped_total", "Tasks stopped to make room for more urgent ones.", float64(stats.Stopped)},
+		{"tasks_failed_total", "Failures of tasks, of faulty machines and of jobs with a mistake.", float64(stats.Failed)},
 		{"tasks_moved_total", "Waiting tasks moved to another part.", float64(stats.Moves)},
 		{"hosts_hired_total", "Machines hired.", float64(stats.Hired)},
 		{"hosts_returned_total", "Machines returned.", float64(stats.Returned)},
