--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -158,9 +158,7 @@
 		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sentAt: map[uint64]time.Duration{}, sPerGB: map[int]float64{},
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
-	if most := time.Duration(holdShare * float64(cfg.Lease)); cfg.Lease > 0 {
-		c.cfg.Knobs.Hold = min(cfg.Knobs.Hold, most)
-	}
+	c.cfg.Knobs.Hold = min(cfg.Knobs.Hold, max(time.Duration(holdShare*float64(cfg.Lease)), leastHold))
 	c.gossipSeq = cfg.Boot << 32 // no number of an earlier life comes again
 	for _, z := range cfg.Zones {
 		c.zone(z)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -314,6 +314,9 @@
 // most workers' leases were lost to each controller that stood still.
 const holdShare = 0.28
 
+// leastHold is what it lasts in any case: a renewal must be able to go wrong once.
+const leastHold = 3 * time.Second
+
 // claimDelay is how long a free part is left to controllers with a better
 // reason to take it: its home first, then whoever owns the fewest.
 func (c *Core) claimDelay(p *part) time.Duration {
