--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -16,7 +16,8 @@
 	owner     string // by the store's view; empty when free
 	stamp     uint64
 	freeSince time.Duration
-	offered   bool // its last owner named this controller
+	removed   uint64 // revision at which the key was last seen gone
+	offered   bool   // its last owner named this controller
 
 	mine     bool
 	token    uint64
@@ -235,7 +236,7 @@
 		if p.mine {
 			return
 		}
-		p.known = true
+		p.known, p.removed = true, max(p.removed, stamp)
 		if p.owner != "" || p.freeSince == 0 {
 			p.freeSince = c.now
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -103,7 +103,9 @@
 			continue
 		}
 		q.view, q.viewAt, q.devices = v, c.now, nil
-		if v.Token > q.stamp && !q.claiming {
+		// An owner that lost the store goes on telling of a claim that is gone. Taken at
+		// its word it kept its part, in which it could start nothing, from the others.
+		if v.Token > q.stamp && v.Token > q.removed && !q.claiming {
 			q.owner, q.stamp, q.known, q.freeSince = p.Label, v.Token, true, 0
 		}
 		c.shown[v.Zone] = v.Show
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -368,3 +368,18 @@
 	assert.Greater(t, ok, 6000, "most are answered")
 	assert.Less(t, slow, 2500, "only those who asked the one that stood still")
 }
+
+func TestAnOwnerThatLosesOnlyTheStoreDoesNotKeepItsPartFromTheOthers(t *testing.T) {
+	w := day(t, 71)
+	s := spec("job-1", "red", 4, 2)
+	s.Zone = "a"
+	warm := w.Submit(s, 60*time.Second)
+	require.True(t, w.Until(40*time.Second, started(w, "job-1", 4)))
+	w.Store.Refuse("node-0", 60*time.Second)
+	w.Run(15 * time.Second)
+	s.ID = "job-2"
+	next := w.Submit(s, 5*time.Second)
+	ends(t, w, next, 20*time.Second)
+	ends(t, w, warm, 2*time.Minute)
+	assert.Equal(t, 4, warm.Starts, "running work goes on")
+}
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -39,7 +39,9 @@
 		return w.Workers[alive[r.IntN(len(alive))]]
 	}
 	hold := r.IntN(2) == 0
-	switch r.IntN(22) {
+	switch r.IntN(23) {
+	case 22: // a controller is down for long
+		node.Restart(sec(60, 90))
 	case 20: // a controller stands still while its clock runs on
 		node.Freeze(sec(0, 60))
 	case 21: // a moment, as when others take its processor
