Word of a slice that is no more starts nothing

Its slice of the job had meanwhile moved away and its key was gone, so the first message brought the slice back, the task was booked, and the second, which names the same attempt on another machine, was taken to confirm the placement: it was launched though its transaction was refused.

Now word of a slice older than the job it belongs to has the key read instead, since every move changes the job too, and a value confirms a placement only on the same machine.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -48,9 +48,18 @@
 		if !ok {
 			continue
 		}
-		if z := c.zones.known(zone); z >= 0 && c.parts[z].mine && c.parts[z].loaded {
-			c.sliceSeen(c.parts[z], id, it.Value, it.Stamp)
+		z := c.zones.known(zone)
+		if z < 0 || !c.parts[z].mine || !c.parts[z].loaded {
+			continue
+		}
+		if j := c.jobs[id]; j != nil && it.Stamp < j.stamp {
+			// Every move changes the job as well, so tasks have moved since. Word held
+			// back by a cut once brought a slice back that was no more, and its task
+			// ran twice.
+			c.readSlice(c.parts[z], id)
+			continue
 		}
+		c.sliceSeen(c.parts[z], id, it.Value, it.Stamp)
 	}
 	for _, zone := range m.Freed {
 		if z := c.zones.known(zone); z >= 0 && !c.parts[z].mine && !c.parts[z].claiming {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -160,7 +160,9 @@
 			p.dirty[s.job.id] = s
 			continue
 		}
-		if t := old[pl.Index]; t != nil && t.attempt == pl.Attempt {
+		// The host counts too: a value of long ago may name the same attempt elsewhere,
+		// and what it confirms is launched.
+		if t := old[pl.Index]; t != nil && t.attempt == pl.Attempt && t.host.name == pl.Host {
 			s.tasks[pl.Index] = t
 			if t.phase == placing {
 				c.placedNow(p, t)
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -383,3 +383,30 @@
 	ends(t, w, warm, 2*time.Minute)
 	assert.Equal(t, 4, warm.Starts, "running work goes on")
 }
+
+func TestWordOfASliceThatIsNoMoreStartsNothing(t *testing.T) {
+	w := day(t, 72)
+	for _, z := range w.Cfg.Zones { // room in every zone
+		s := spec("job-9"+z, "red", 4, 2)
+		s.Zone = z
+		ends(t, w, w.Submit(s, 5*time.Second), time.Minute)
+	}
+	job := w.Submit(spec("job-1", "red", 1, 2), 20*time.Second)
+	require.True(t, w.Until(10*time.Second, started(w, "job-1", 1)))
+	var other *Node
+	for _, n := range w.Nodes {
+		if n.zone != anyOn(w, "job-1").zone {
+			other = n
+		}
+	}
+	// What its owner was told of two moves into its part comes late, after the tasks
+	// have gone elsewhere: first they wait there, then one is placed.
+	for i, value := range []string{`{"w":[[0,1]],"n":2}`, `{"p":[{"i":0,"h":"vm-999999","a":3}],"n":3}`} {
+		other.handle(core.PeerMessage{Message: core.Message{Boot: 1,
+			Slices: []core.Item{{Key: "slice/" + other.zone + "/job-1", Value: []byte(value), Stamp: uint64(1 + i)}}}})
+		other.settle()
+	}
+	ends(t, w, job, time.Minute)
+	assert.Equal(t, 1, job.Starts)
+	assert.Empty(t, other.Core.Residents())
+}
