Read through again: one way to finish a job, to send work away and to start a crowd

A job of one part and one of several are set done by the same code; both reasons to hand work to a part with cheap machines call the same; betterPart asks once for what it needs; fillers' choice of machines left the plan; status and explain only look (they could end a doubt, and the log line of that was lost); makeRoom no longer depends on a map's order. A check that never held is gone.

--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -106,7 +106,7 @@
 		return "the part is being handed over"
 	case len(p.refreshing) > 0:
 		return "a transaction's outcome is being looked up"
-	case c.doubtful(s.job):
+	case s.job.doubt > 0:
 		return fmt.Sprintf("its tasks fail on every machine (%d so far, last on %v), as if submitted with a mistake; one at a time is tried, the next in %.0f s",
 			s.job.failures, s.job.failedNames(), seconds(max(s.job.doubtAt-c.now, 0)))
 	case c.limits[s.job.team].Limit.limits(s.job.spec.Need) && !c.quotas[s.job.team].known:
--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -16,9 +16,6 @@
 
 // seeTeams notes which teams use less than their guarantee.
 func (c *Core) seeTeams() {
-	if len(c.within) != len(c.limits) {
-		c.within = make([]bool, len(c.limits))
-	}
 	for t := range c.limits {
 		used, g := c.teamUse(t), c.limits[t].Guarantee
 		c.within[t] = used.Cores < g.Cores || used.Cards < g.Cards
@@ -77,6 +74,21 @@
 	return room
 }
 
+// fillable is the machines of pools in which a filler's tasks still have room, and how
+// many of them all pools together may take.
+func (k *kept) fillable(j *job, all []device, left []float64) (fit []device, most int) {
+	for _, d := range all {
+		if left[poolOf(k.pools, d.host.typ)] >= j.spec.Need.Cores {
+			fit = append(fit, d)
+		}
+	}
+	sum := 0.0
+	for _, room := range left {
+		sum += max(room, 0)
+	}
+	return fit, int(sum / j.spec.Need.Cores)
+}
+
 // fillOn is what fillers may still take of a part's machines of a type, as its owner
 // last said or as was last reckoned here.
 func (c *Core) fillOn(p *part, typ int) float64 {
@@ -153,7 +165,8 @@
 			continue
 		}
 		o := offer{host: h, free: c.types[h.typ].Total}
-		for _, t := range h.tasks {
+		for _, id := range sortedTasks(h.tasks) { // sums must not depend on a map's order
+			t := h.tasks[id]
 			o.free = o.free.plus(t.need, -1)
 			if v := t.job(); c.yields(t) && (v.spec.Priority > j.spec.Priority || c.within[j.team]) {
 				o.victims = append(o.victims, t)
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -292,11 +292,7 @@
 			}
 			if !o.Spot && n.job.spec.Spot {
 				// No dear machine for those who only fill room, as long as they can wait.
-				if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil && movable(n.job) {
-					p.export[n.job.id] = export{q, int(math.Ceil(short))}
-					return
-				}
-				if c.keeps(s) {
+				if c.sendAway(p, n.job, short) || c.keeps(s) {
 					return
 				}
 				short = min(short, beginWith)
@@ -311,11 +307,8 @@
 			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
 				return
 			}
-			if movable(n.job) {
-				if q := c.spotElsewhere(p, c.typesOf(n.job), n.job.spec.Priority); q != nil {
-					p.export[n.job.id] = export{q, int(math.Ceil(short))}
-					return
-				}
+			if c.sendAway(p, n.job, short) {
+				return
 			}
 		}
 		want := short / float64(k)
@@ -333,6 +326,19 @@
 	tasks int
 }
 
+// sendAway has waiting tasks handed to the part that can hire spot machines for them,
+// if there is one and they may go there.
+func (c *Core) sendAway(p *part, j *job, tasks float64) bool {
+	if !movable(j) {
+		return false
+	}
+	q := c.spotElsewhere(p, c.typesOf(j), j.spec.Priority)
+	if q != nil {
+		p.export[j.id] = export{q, int(math.Ceil(tasks))}
+	}
+	return q != nil
+}
+
 // spotElsewhere names the part that can hire spot machines of the types given where
 // this one would have to take dear ones: the one with the shortest queue, if that is over
 // when such a machine is up. Parts are not alike in what they can hire, and jobs go
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -53,26 +53,32 @@
 	}
 	var best *part
 	most := 0
-	now := seconds(c.now)
+	now, typ, fills := seconds(c.now), c.usualType(j), c.filler(j)
+	if typ < 0 {
+		return nil, 0
+	}
 	for _, q := range c.parts {
-		if q == p || !c.current(q) || c.usualType(j) < 0 {
+		if q == p || !c.current(q) {
 			continue
 		}
+		fill := 0.0
+		if fills {
+			if fill = c.fillOn(q, typ); fill < max(j.spec.Need.Cores, 1) {
+				continue
+			}
+		}
 		var devices []*plan.Device
 		for _, d := range c.partDevices(q) {
 			devices = append(devices, d.Device)
 		}
 		fits, step := 0, c.step(j)
-		if c.filler(j) && c.fillOn(q, c.usualType(j)) < max(j.spec.Need.Cores, 1) {
-			continue
-		}
 		for _, d := range devices {
 			if step.Allowed(d.Kind) {
 				fits += d.FreeFor(step, now, now+1)
 			}
 		}
-		if c.filler(j) && j.spec.Need.Cores > 0 {
-			fits = min(fits, int(c.fillOn(q, c.usualType(j))/j.spec.Need.Cores))
+		if fills && j.spec.Need.Cores > 0 {
+			fits = min(fits, int(fill/j.spec.Need.Cores))
 		}
 		if fits > most {
 			best, most = q, fits
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -234,7 +234,6 @@
 			list = append(list, s)
 		}
 	}
-	within := c.within
 	slots := c.slotsOf(p)
 	type key struct {
 		late, fills, lost bool
@@ -265,7 +264,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(first(kx.late, ky.late), first(ky.fills, kx.fills), byPriority, first(within[x.team], within[y.team]), first(ky.lost, kx.lost),
+		return cmp.Or(first(kx.late, ky.late), first(ky.fills, kx.fills), byPriority, first(c.within[x.team], c.within[y.team]), first(ky.lost, kx.lost),
 			cmp.Compare(kx.by, ky.by), cmp.Compare(x.id, y.id))
 	})
 	return list
@@ -428,22 +427,15 @@
 			all, devices = fit, devicesOf(fit)
 		}
 		keeps := c.keeps(s) && j.spec.Need.Cores > 0
-		if keeps && p.keep.pools == nil {
-			continue // a new owner has yet to see what others need
-		}
 		if keeps {
+			if p.keep.pools == nil {
+				continue // a new owner has yet to see what others need
+			}
 			if left == nil {
 				left = c.fillRoom(p) // those who come first have been placed
 			}
-			sum := 0.0
-			all = slices.DeleteFunc(slices.Clone(all), func(d device) bool {
-				return left[poolOf(p.keep.pools, d.host.typ)] < j.spec.Need.Cores
-			})
-			devices = devicesOf(all)
-			for i := range left {
-				sum += max(left[i], 0)
-			}
-			n = min(n, int(sum/j.spec.Need.Cores))
+			fit, most := p.keep.fillable(j, all, left)
+			all, devices, n = fit, devicesOf(fit), min(n, most)
 		} else if c.filler(j) && c.overdue(s) {
 			n = min(n, beginWith)
 		}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -196,7 +196,7 @@
 // fits into its grant, or will once the grant has grown.
 func (c *Core) granted(p *part, team int, w *writing) bool {
 	q, used, lim := c.quotas[team], p.used[team], c.limits[team].Limit
-	if lim.Cores == 0 && lim.Cards == 0 {
+	if lim == (Amount{}) {
 		return true
 	}
 	if !q.known || q.need {
@@ -215,7 +215,7 @@
 // asks for it, otherwise after it has been idle for a while.
 func (c *Core) giveBack(p *part, team int, now bool) bool {
 	q := c.quotas[team]
-	if lim := c.limits[team].Limit; lim.Cores == 0 && lim.Cards == 0 {
+	if c.limits[team].Limit == (Amount{}) {
 		return false // there are no grants
 	}
 	if !q.known || q.need {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -508,16 +508,7 @@
 	}
 	if s.complete() && !s.job.spec.Service {
 		if len(s.job.split) == 1 {
-			guard()
-			value := s.job.value(standingDone)
-			w.txn.Guards = append(w.txn.Guards, Guard{s.job.key(), s.job.stamp})
-			w.txn.Apply = append(w.txn.Apply, Set{Key: s.job.key(), Value: value}, Set{Key: key})
-			w.done = append(w.done, s.job)
-			w.drops = append(w.drops, id)
-			w.slices[id] = s
-			w.settled[s] = maps.Clone(s.settled)
-			w.news = append(w.news, Item{Key: s.job.key(), Value: value})
-			return len(value)
+			return w.finish(s, nil, 0)
 		}
 		if len(s.settled) == 0 {
 			c.finishTogether(p, s)
@@ -560,6 +551,23 @@
 	return len(value)
 }
 
+// finish sets a job done whose slices are all complete: this part's, and the others
+// named, of which as many as fit are dropped with it.
+func (w *writing) finish(s *slice, others []Guard, drops int) int {
+	j := s.job
+	key, value := sliceKey(w.part.name, j.id), j.value(standingDone)
+	w.txn.Guards = append(append(w.txn.Guards, Guard{key, s.stamp}, Guard{j.key(), j.stamp}), others...)
+	w.txn.Apply = append(w.txn.Apply, Set{Key: j.key(), Value: value}, Set{Key: key})
+	for _, o := range others[:drops] {
+		w.txn.Apply = append(w.txn.Apply, Set{Key: o.Key})
+	}
+	w.done = append(w.done, j)
+	w.drops = append(w.drops, j.id)
+	w.news = append(w.news, Item{Key: j.key(), Value: value})
+	w.slices[j.id], w.settled[s] = s, maps.Clone(s.settled)
+	return len(value)
+}
+
 // finish is a job of several parts whose slices were all seen complete.
 type finish struct {
 	slice  *slice
@@ -585,17 +593,7 @@
 			kept = append(kept, f)
 			continue
 		}
-		key, value := sliceKey(p.name, j.id), j.value(standingDone)
-		size += len(value)
-		w.txn.Guards = append(append(w.txn.Guards, Guard{j.key(), j.stamp}, Guard{key, s.stamp}), f.others...)
-		w.txn.Apply = append(w.txn.Apply, Set{Key: j.key(), Value: value}, Set{Key: key})
-		for _, o := range f.others[:drops] {
-			w.txn.Apply = append(w.txn.Apply, Set{Key: o.Key})
-		}
-		w.done = append(w.done, j)
-		w.drops = append(w.drops, j.id)
-		w.news = append(w.news, Item{Key: j.key(), Value: value})
-		w.slices[j.id], w.settled[s] = s, nil
+		size += w.finish(s, f.others, drops)
 		s.busy = false
 		delete(p.dirty, j.id)
 	}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -139,7 +139,7 @@
 		}
 	}
 	for _, id := range sorted(c.jobs) {
-		if j := c.jobs[id]; c.doubtful(j) {
+		if j := c.jobs[id]; j.doubt > 0 {
 			s.Doubtful = append(s.Doubtful, Doubtful{id, j.spec.Team, j.spec.Class, j.failures, j.failedNames(), seconds(max(j.doubtAt-c.now, 0))})
 		}
 	}
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -320,19 +320,7 @@
 	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
 	w.Store.RPS = 30 // for all three controllers
 	w.Run(3 * time.Second)
-	var jobs []*Job
-	for i := range 30 {
-		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 3, 2), 20*time.Second))
-	}
-	accepted := func() bool {
-		for _, j := range jobs {
-			if !j.Accepted {
-				return false
-			}
-		}
-		return true
-	}
-	require.True(t, w.Until(time.Minute, accepted))
+	jobs := crowd(t, w, 30, 3, 20*time.Second)
 	ok, slow := 0, 0
 	var storm func()
 	end := w.Now + 40*time.Second
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -1,6 +1,8 @@
 package fake
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +35,19 @@
 	require.True(t, w.Until(d, job.Over), "%s is over", job.Spec.ID)
 }
 
+// crowd submits jobs of both teams and waits until all are accepted.
+func crowd(t *testing.T, w *World, n, tasks int, run time.Duration) []*Job {
+	t.Helper()
+	var jobs []*Job
+	for i := range n {
+		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], tasks, 2), run))
+	}
+	require.True(t, w.Until(time.Minute, func() bool {
+		return !slices.ContainsFunc(jobs, func(j *Job) bool { return !j.Accepted })
+	}), "all are accepted")
+	return jobs
+}
+
 // allGone says whether every machine has been given back or has died.
 func allGone(w *World) func() bool {
 	return func() bool {
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -299,19 +299,7 @@
 	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
 	w.Store.RPS = 30 // for all three; four dozen jobs are polled every two seconds
 	w.Run(3 * time.Second)
-	var jobs []*Job
-	for i := range 50 {
-		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 4, 2), 25*time.Second))
-	}
-	accepted := func() bool {
-		for _, j := range jobs {
-			if !j.Accepted {
-				return false
-			}
-		}
-		return true
-	}
-	require.True(t, w.Until(time.Minute, accepted))
+	jobs := crowd(t, w, 50, 4, 25*time.Second)
 	w.Store.Outage(20 * time.Second)
 	w.Run(5 * time.Second)
 	for i, n := range w.Nodes {
