Names: deaf hears nobody, mute reaches nobody, as the users' page has it

We said mute for a machine whose reports come while nothing it is told arrives. The users' page calls that one deaf, and mute the one that can open no connection while commands reach it. The world learns Mute in the page's sense; its Mute of before is Deafen.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,7 +83,7 @@
 	within []bool   // by team: it uses less than its guarantee
 
 	wokeAt        time.Duration // when it last went on after it had stood still, 0: never
-	deafUntil     time.Duration
+	cutOffUntil   time.Duration
 	cloudOK       time.Duration // when the cloud last answered a listing
 	cloudBadSince time.Duration
 	heard         map[string]map[string]time.Duration // workers of others' parts, by zone
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -391,7 +391,7 @@
 	Wants     Share // what it asked of the state service lately, a second
 	Parts     []PartView
 	Heard     map[string]int // workers of parts not its own heard lately
-	Deaf      bool           // it gave a part up because it did not hear its workers
+	CutOff    bool           // it gave a part up because it did not hear its workers
 }
 
 // PartView is a summary of a part by its owner.
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -37,7 +37,7 @@
 	expired      bool // its lease has run out for certain
 	unheard      int  // calls to it without an answer, each after a fresh report
 	unheardAt    time.Duration
-	mute         bool // its reports come, but what it is told does not arrive
+	deaf         bool // its reports come, but what it is told does not arrive
 	recall       time.Duration
 	blockUntil   time.Duration
 	patience     time.Duration
@@ -93,7 +93,7 @@
 // token. Only that proves that it hears me and that its report is no copy of
 // one sent long ago, by a machine that may be gone.
 func (h *host) usable(now time.Duration) bool {
-	return h.state == up && h.recall == 0 && !h.expired && !h.failed && !h.mute && now >= h.blockUntil &&
+	return h.state == up && h.recall == 0 && !h.expired && !h.failed && !h.deaf && now >= h.blockUntil &&
 		h.session > 0 && h.token >= h.part.tenure && now < h.lastHeard+h.patience
 }
 
@@ -105,7 +105,7 @@
 
 // joining says whether a machine is up and about to show that it hears me.
 func (h *host) joining(now time.Duration) bool {
-	return h.state == up && h.session > 0 && h.token < h.part.tenure && h.recall == 0 && !h.failed && !h.mute && now < h.since+5*time.Second
+	return h.state == up && h.session > 0 && h.token < h.part.tenure && h.recall == 0 && !h.failed && !h.deaf && now < h.since+5*time.Second
 }
 
 func (c *Core) hostNamed(p *part, name string) *host {
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -321,7 +321,7 @@
 // claimDelay is how long a free part is left to controllers with a better
 // reason to take it: its home first, then whoever owns the fewest.
 func (c *Core) claimDelay(p *part) time.Duration {
-	if mine, _ := c.homeOf(p); mine && c.now >= c.deafUntil || p.offered {
+	if mine, _ := c.homeOf(p); mine && c.now >= c.cutOffUntil || p.offered {
 		return 0
 	}
 	owned := 0
@@ -517,15 +517,15 @@
 	if !p.loaded || p.committing || p.claiming || p.yielding {
 		return
 	}
-	if to := c.deafTo(p); to != nil {
-		c.deafUntil = c.now + deafFor
+	if to := c.heardBy(p); to != nil {
+		c.cutOffUntil = c.now + cutOffFor
 		c.yield(p, to, "its workers are heard elsewhere only")
 		return
 	}
 	if mine || home == nil {
 		return
 	}
-	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK && !home.gossip.Deaf
+	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK && !home.gossip.CutOff
 	if !well {
 		p.homeUp = 0
 		return
@@ -549,13 +549,13 @@
 	return c.now > p.heardAt+max(c.cfg.Report*3, 10*time.Second) && (len(p.hosts) >= 3 || p.wasDark)
 }
 
-// deafFor is how long a controller that gave a part up for not hearing its
+// cutOffFor is how long a controller that gave a part up for not hearing its
 // workers is not given one back.
-const deafFor = time.Minute
+const cutOffFor = time.Minute
 
-// deafTo names the controller that hears the part's workers while this one,
+// heardBy names the controller that hears the part's workers while this one,
 // though it reaches the state service, hears none of them.
-func (c *Core) deafTo(p *part) *peer {
+func (c *Core) heardBy(p *part) *peer {
 	if c.now < p.loadedAt+10*time.Second {
 		return nil
 	}
@@ -570,7 +570,7 @@
 	}
 	for _, q := range c.peers {
 		if workers > 1 && c.now < q.gossipAt+1500*time.Millisecond && q.gossip != nil && q.gossip.StoreOK &&
-			!q.gossip.Deaf && q.gossip.Heard[p.name] > 0 {
+			!q.gossip.CutOff && q.gossip.Heard[p.name] > 0 {
 			return q
 		}
 	}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -3,11 +3,11 @@
 import "time"
 
 // misses is how many calls in a row may stay without an answer, though the
-// machine's reports come, before it is taken for mute.
+// machine's reports come, before it is taken for deaf.
 const misses = 3
 
 // answered notes whether a call to a worker was answered. Only calls after a
-// new report count: a machine that is cut off both ways is silent, not mute.
+// new report count: a machine that is cut off both ways is silent, not deaf.
 func (c *Core) answered(p *part, h *host, ok bool) {
 	if ok {
 		h.unheard = 0
@@ -18,19 +18,19 @@
 	}
 	h.unheardAt = c.now
 	if h.unheard++; h.unheard >= misses {
-		c.muted(p, h, "its reports come, calls to it stay without an answer")
+		c.foundDeaf(p, h, "its reports come, calls to it stay without an answer")
 	}
 }
 
-// muted gives a machine up that reports but hears nothing. It gets no new work
+// foundDeaf gives a machine up that reports but hears nothing. It gets no new work
 // and is returned; its tasks run elsewhere on the proofs that hold for any.
-func (c *Core) muted(p *part, h *host, why string) {
-	if h.mute {
+func (c *Core) foundDeaf(p *part, h *host, why string) {
+	if h.deaf {
 		return
 	}
-	h.mute = true
+	h.deaf = true
 	p.replan = true
-	c.note(1, "host is mute", "host", h.name, "part", p.name, "why", why)
+	c.note(1, "host is deaf", "host", h.name, "part", p.name, "why", why)
 }
 
 // beat answers a worker's report.
@@ -258,7 +258,7 @@
 		// answer did not arrive. That one was sent proves nothing. Not so after
 		// this controller stood still: it then answers reports that had waited
 		// for it and that their workers had given up, of all machines of a part.
-		c.muted(p, h, "its lease ran out though it was answered")
+		c.foundDeaf(p, h, "its lease ran out though it was answered")
 	}
 	if p.loaded {
 		// What an earlier owner launched was launched before the worker knew my
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -53,21 +53,21 @@
 		for _, h := range p.hostList() {
 			if h.state == up && !h.expired {
 				alive++
-				if c.silence(h) > c.cfg.Report*2 || h.mute {
+				if c.silence(h) > c.cfg.Report*2 || h.deaf {
 					silent++
 				}
 			}
 		}
-		// When most machines fall silent or mute together, it is rather this
+		// When most machines fall silent or deaf together, it is rather this
 		// controller that is cut off.
-		deaf := silent >= 3 && silent*2 > alive
+		cutOff := silent >= 3 && silent*2 > alive
 		var back []*host
 		for _, h := range p.hostList() {
 			c.greet(p, h)
 			if h.state == up {
 				c.checkLease(p, h)
 			}
-			if why := c.wantBack(p, h, deaf); why != "" && sure {
+			if why := c.wantBack(p, h, cutOff); why != "" && sure {
 				c.note(1, "host not wanted", "host", h.name, "part", p.name, "why", why, "tasks", len(h.tasks))
 				back = append(back, h)
 			}
@@ -78,7 +78,7 @@
 
 // wantBack says why a machine should be returned for its own sake, if it
 // should; idle machines are the hiring's business.
-func (c *Core) wantBack(p *part, h *host, deaf bool) string {
+func (c *Core) wantBack(p *part, h *host, cutOff bool) string {
 	switch h.state {
 	case booting:
 		if c.now > h.giveUp {
@@ -99,11 +99,11 @@
 		if h.failed && len(h.tasks) == 0 {
 			return "faulty"
 		}
-		if h.mute && !deaf {
-			return "mute"
+		if h.deaf && !cutOff {
+			return "deaf"
 		}
 		limit := c.cfg.Knobs.SilentReturn
-		if deaf || c.now < p.loadedAt+c.cfg.Report*3 {
+		if cutOff || c.now < p.loadedAt+c.cfg.Report*3 {
 			limit = c.cfg.Lease + 15*time.Second
 		}
 		if silent > limit {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -175,8 +175,8 @@
 		return "recalled"
 	case h.failed:
 		return "faulty"
-	case h.mute:
-		return "mute"
+	case h.deaf:
+		return "deaf"
 	case !h.usable(now):
 		return "silent"
 	}
@@ -200,8 +200,8 @@
 	if c.cloudBadSince > 0 {
 		add("cloud out of reach", seconds(c.now-c.cloudBadSince))
 	}
-	if c.now < c.deafUntil {
-		add("workers not heard; a part was handed over", seconds(c.now-(c.deafUntil-deafFor)))
+	if c.now < c.cutOffUntil {
+		add("workers not heard; a part was handed over", seconds(c.now-(c.cutOffUntil-cutOffFor)))
 	}
 	for _, p := range c.parts {
 		if p.known && p.owner == "" {
--- a/internal/fake/seeds_test.go
+++ b/internal/fake/seeds_test.go
@@ -48,7 +48,7 @@
 		node.Freeze(sec(0, 4))
 	case 15: // a machine hears nobody, but is heard
 		if k := worker(); k != nil {
-			w.Mute(k, sec(2, 90))
+			w.Deafen(k, sec(2, 90))
 		}
 	case 16: // a controller loses the state service and the others, not its workers
 		w.Alone(node, sec(2, 60), hold)
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -45,13 +45,13 @@
 	w := oneController(t, 31, nil)
 	job := w.Submit(spec("job-1", "red", 6, 4), 30*time.Second)
 	require.True(t, w.Until(60*time.Second, started(w, "job-1", 6)))
-	mute := anyOn(w, "job-1")
-	w.Mute(mute, 10*time.Minute)
+	deaf := anyOn(w, "job-1")
+	w.Deafen(deaf, 10*time.Minute)
 	from := w.Now
-	starts := func() int { return len(mute.tasks) }
+	starts := func() int { return len(deaf.tasks) }
 	before := starts()
 	more := w.Submit(spec("job-2", "red", 4, 2), 5*time.Second)
-	require.True(t, w.Until(w.Cfg.Lease+30*time.Second, func() bool { return mute.deleted }), "it is returned")
+	require.True(t, w.Until(w.Cfg.Lease+30*time.Second, func() bool { return deaf.deleted }), "it is returned")
 	// Its tasks had to be proven gone first: by the end of its lease, seen in a
 	// later session, or by the cloud's word. The referee saw no task twice.
 	assert.LessOrEqual(t, starts(), before, "it gets no new work")
@@ -60,23 +60,23 @@
 	assert.Less(t, w.Now-from, 2*time.Minute, "nothing waited for it")
 }
 
-func TestAMachineMuteFromTheStartGetsNoWork(t *testing.T) {
+func TestAMachineDeafFromTheStartGetsNoWork(t *testing.T) {
 	w := oneController(t, 32, nil)
-	var mute *Worker
+	var deaf *Worker
 	w.Cloud.BootS = func(name string) float64 {
 		w.After(time.Millisecond, func() {
-			if mute == nil {
-				mute = w.Workers[name]
-				w.Mute(mute, 10*time.Minute)
+			if deaf == nil {
+				deaf = w.Workers[name]
+				w.Deafen(deaf, 10*time.Minute)
 			}
 		})
 		return 5
 	}
 	job := w.Submit(spec("job-1", "red", 4, 2), 10*time.Second)
 	ends(t, w, job, 2*time.Minute)
-	require.NotNil(t, mute)
-	assert.True(t, w.Until(time.Minute, func() bool { return mute.deleted }), "it is returned")
-	for id := range mute.tasks {
+	require.NotNil(t, deaf)
+	assert.True(t, w.Until(time.Minute, func() bool { return deaf.deleted }), "it is returned")
+	for id := range deaf.tasks {
 		t.Errorf("%v was sent to it", id)
 	}
 }
@@ -493,7 +493,7 @@
 func TestAControllerThatStoodStillAlongWithItsPartKeepsTheMachines(t *testing.T) {
 	// Nobody else could answer the workers, so their leases did run out. Reports
 	// that had waited and that their workers had given up seemed to be answered on
-	// waking; the sessions after them then made every machine look mute.
+	// waking; the sessions after them then made every machine look deaf.
 	w := oneController(t, 44, nil)
 	job := w.Submit(spec("job-1", "red", 8, 4), 30*time.Second)
 	require.True(t, w.Until(60*time.Second, started(w, "job-1", 8)))
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -18,6 +18,7 @@
 	gone         bool
 	deleted      bool
 	hangUntil    time.Duration
+	muteUntil    time.Duration // it opens no connection until then
 	Slow         float64       // factor on run times
 	Faulty       bool          // every task fails on it
 	notice       time.Duration // when the machine is taken, 0: not known
@@ -134,6 +135,10 @@
 	if k.flying || k.w.Now < k.nextAt || since < 500*time.Millisecond || since < k.w.Cfg.Report && !k.dirty {
 		return
 	}
+	if k.w.Now < k.muteUntil {
+		k.turn()
+		return
+	}
 	k.flying, k.dirty, k.lastSent = true, false, k.w.Now
 	rep, sent, session, node := k.report(), k.w.Now, k.session, k.w.Nodes[k.node]
 	if k.w.Copies != nil {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -149,14 +149,22 @@
 	w.Log("%v cut %s->%s for %v", w.Now, from, to, d)
 }
 
-// Mute lets a machine's reports arrive while nothing that any controller says
+// Deafen lets a machine's reports arrive while nothing that any controller says
 // reaches it.
-func (w *World) Mute(k *Worker, d time.Duration) {
+func (w *World) Deafen(k *Worker, d time.Duration) {
 	for _, n := range w.Nodes {
 		w.CutOneWay(n.Name, k.name, d)
 	}
 }
 
+// Mute lets a machine open no connection to any controller, while theirs reach it
+// and are answered.
+func (w *World) Mute(k *Worker, d time.Duration) {
+	w.trouble(d)
+	w.Log("%v mute %s for %v", w.Now, k.name, d)
+	k.muteUntil = w.Now + d
+}
+
 // Alone cuts a controller from the state service and the other controllers, but
 // not from its workers.
 func (w *World) Alone(n *Node, d time.Duration, hold bool) {
