A submission repeated while its acceptance is under way is not answered from before

Cause: a repeat joined the submission it repeats and got the answer of its transaction, pending. The transaction may have been carried out long before its answer came; the job may have been cancelled through another controller since, and its user told so.

Now who asks after the transaction was sent gets a fresh look at the job, and whoever asked before gets what is known by then. Questions, lookups and cancellations were gone through for the same: each is answered by a read or a comparison sent after the request came.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -270,6 +270,8 @@
 	spec    Spec
 	split   map[string]ranges
 	reqs    []uint64
+	sent    bool     // its transaction is under way
+	late    []uint64 // those who asked since then
 	alone   bool
 	arrived time.Duration
 }
@@ -299,7 +301,11 @@
 		return
 	}
 	if b := c.batching[id]; b != nil {
-		b.reqs = append(b.reqs, e.Req)
+		if b.sent {
+			b.late = append(b.late, e.Req)
+		} else {
+			b.reqs = append(b.reqs, e.Req)
+		}
 		return
 	}
 	why, status := e.Bad, 400
@@ -327,6 +333,23 @@
 	c.batching[id] = b
 }
 
+// asLate answers those who repeated a submission while its transaction was under
+// way. It may have been carried out long before its answer came; the job may have
+// been withdrawn or done since, and its user told so elsewhere.
+func (c *Core) asLate(b *submission) {
+	for _, req := range b.late {
+		c.lookUp(req, b.spec.ID, func() { c.refuse(req, 503, retryBusy, "changed meanwhile") })
+	}
+	b.late = nil
+}
+
+// again puts a submission back whose transaction was not carried out.
+func (c *Core) again(b *submission) {
+	b.sent = false
+	b.reqs, b.late = append(b.reqs, b.late...), nil
+	c.batch = append(c.batch, b)
+}
+
 // neverRuns says why a job can never run, or nothing.
 func (c *Core) neverRuns(s *Spec) string {
 	team := c.teams.known(s.Team)
@@ -440,6 +463,7 @@
 				}
 			}
 			group = append(group, b)
+			b.sent = true
 			c.batch = c.batch[1:]
 			if b.alone {
 				break
@@ -476,21 +500,23 @@
 				if i > 0 {
 					status = 200
 				}
-				c.emit(Reply{Req: req, Status: status, Run: RunState{ID: b.spec.ID}})
+				c.emit(Reply{Req: req, Status: status, Run: c.runState(b.spec.ID)})
 			}
+			c.asLate(b)
 		}
 	case Refused:
 		// Some of them are known already; the others go one by one.
 		for _, b := range group {
 			if !contains(res.Failed, "job/"+b.spec.ID) {
 				b.alone = true
-				c.batch = append(c.batch, b)
+				c.again(b)
 				continue
 			}
 			delete(c.batching, b.spec.ID)
 			for _, req := range b.reqs {
 				c.lookUp(req, b.spec.ID, func() { c.refuse(req, 503, retryBusy, "changed meanwhile") })
 			}
+			c.asLate(b)
 		}
 	case Unknown:
 		// It may have been accepted: say so if it was, else have it repeated.
@@ -499,6 +525,7 @@
 			for _, req := range b.reqs {
 				c.lookUp(req, b.spec.ID, func() { c.refuse(req, 503, retryBusy, "no answer from the state service") })
 			}
+			c.asLate(b)
 		}
 	default:
 		// Not carried out, mostly for want of tokens. One more try while it is
@@ -506,7 +533,7 @@
 		c.batchAt = c.now + 100*time.Millisecond
 		for _, b := range group {
 			if c.now < b.arrived+400*time.Millisecond {
-				c.batch = append(c.batch, b)
+				c.again(b)
 			} else {
 				c.drop(b, 503, "state service refused")
 			}
@@ -516,7 +543,7 @@
 
 func (c *Core) drop(b *submission, status int, why string) {
 	delete(c.batching, b.spec.ID)
-	for _, req := range b.reqs {
+	for _, req := range append(b.reqs, b.late...) {
 		c.refuse(req, status, retryBusy, why)
 	}
 }
