The world holds single packets of workers, shows what was carried out, and delays writes

For stories in which a meeting comes about with certainty: an order, a report or the answer to either is under way for as long as the story says; each transaction carried out is told, claims among them, with the moment before their owner hears; one write is carried out late, and it is known whether its controller had changed a key of it meanwhile; every link may be slow.

--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -33,6 +33,8 @@
 	// Lose, if set, is asked for each transaction: its reply may be lost, and
 	// it may be applied only after a while.
 	Lose func(node string, t core.Txn) (lost bool, late time.Duration)
+	// Carried are told of each transaction that was carried out or refused.
+	Carried []func(node string, t core.Txn, res core.CommitResult)
 }
 
 type row struct {
@@ -160,13 +162,21 @@
 		if lost, late := s.Lose(node, t); lost {
 			s.w.After(late, func() {
 				if !s.away(node) {
-					s.apply(t)
+					s.carry(node, t)
 				}
 			})
 			return
 		}
 	}
-	answer(s.apply(t))
+	answer(s.carry(node, t))
+}
+
+func (s *Store) carry(node string, t core.Txn) core.CommitResult {
+	res := s.apply(t)
+	for _, f := range s.Carried {
+		f(node, t, res)
+	}
+	return res
 }
 
 func (s *Store) apply(t core.Txn) core.CommitResult {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -155,7 +155,10 @@
 			answer(core.BeatReply{Status: 0})
 			return
 		}
-		node.ask(func(req uint64) any { return core.Beat{Req: req, Report: rep} }, answer)
+		k.w.held(k, rep, func() {
+			node.ask(func(req uint64) any { return core.Beat{Req: req, Report: rep} },
+				func(res any) { k.w.held(k, res, func() { answer(res) }) })
+		})
 	}, func(res any) {
 		k.w.reach(k.name, func(k *Worker) {
 			k.flying = false
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -30,6 +30,12 @@
 	// Again, if set, says after how long a request is carried out a second time,
 	// 0 for not at all. Orders come again only from a process that has ended.
 	Again func(node string, op any) time.Duration
+	// Held, if set, says how much longer than others a worker's packet is under way:
+	// an order (core.OrdersOp) or its answer (core.WorkerResult), a report
+	// (core.Report) or its answer (core.BeatReply). Negative: it is lost.
+	Held func(k *Worker, what any) time.Duration
+	// Lag is how much longer than usual every packet is under way.
+	Lag time.Duration
 	// Calm is when the last trouble is over; the referee asks more from then on.
 	Calm time.Duration
 
@@ -177,7 +183,7 @@
 }
 
 func (w *World) latency() time.Duration {
-	return time.Duration(500+w.Rng.IntN(2500)) * time.Microsecond
+	return w.Lag + time.Duration(500+w.Rng.IntN(2500))*time.Microsecond
 }
 
 // packet carries f from one host to another.
@@ -413,8 +419,13 @@
 			w.After(1500*time.Millisecond, func() { done(core.WorkerResult{Outcome: core.NotSent}) })
 			return
 		}
+		k := w.Workers[hostOf(op.Addr)]
 		w.rpc(n.Name, hostOf(op.Addr), 3*time.Second, core.WorkerResult{}, func(a func(any)) {
-			w.reach(op.Addr, func(k *Worker) { k.direct(op, a) })
+			w.held(k, op, func() {
+				w.reach(op.Addr, func(k *Worker) {
+					k.direct(op, func(res any) { w.held(k, res, func() { a(res) }) })
+				})
+			})
 		}, done)
 	case core.ShowOp:
 		w.rpc(n.Name, hostOf(op.Addr), 3*time.Second, core.WorkerResult{}, func(a func(any)) {
