--- /dev/null
+++ b/internal/fake/meet_workers_test.go
@@ -0,0 +1,258 @@
+package fake
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// plain is a job in zone a whose tasks fill a small machine each and need no image.
+func plain(id string, tasks int) core.Spec {
+	s := spec(id, "red", tasks, 4)
+	s.Image, s.ImageGB, s.Types, s.Zone = "", 0, []string{"small"}, "a"
+	return s
+}
+
+// idleMachines makes a day with a controller in each zone, where zone a has small
+// machines that are up, idle and kept.
+func idleMachines(t *testing.T, seed uint64, n int, zones ...string) *World {
+	cfg := Settings()
+	cfg.Zones = zones
+	cfg.Knobs.SilentReturn, cfg.Knobs.KeepIdle = 10*time.Minute, 10*time.Minute
+	w := New(seed, cfg)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	if testing.Verbose() {
+		w.Log = t.Logf
+	}
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 6
+	}
+	w.Run(3 * time.Second)
+	ends(t, w, w.Submit(plain("job-99", n), 3*time.Second), time.Minute)
+	w.Run(5 * time.Second)
+	require.GreaterOrEqual(t, len(alive(w, "a")), n)
+	return w
+}
+
+// alive lists a zone's machines by name.
+func alive(w *World, zone string) []*Worker {
+	var out []*Worker
+	for _, name := range workersOf(w, zone) {
+		if k := w.Workers[name]; k.started && !k.gone {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// leaderOf is the controller that holds itself the zone's owner.
+func leaderOf(w *World, zone string) *Node {
+	for _, n := range w.Nodes {
+		if !n.up {
+			continue
+		}
+		for _, p := range n.Core.Status().Parts {
+			if p.Zone == zone && p.Here && p.Loaded {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+// holdLaunch has the first launch of the job be under way for d, and says on which
+// machine. The machine's next report leaves after quiet.
+func holdLaunch(w *World, job string, d, quiet time.Duration) func() *Worker {
+	var at *Worker
+	w.Held = func(k *Worker, what any) time.Duration {
+		if at != nil || !launches(what, job) {
+			return 0
+		}
+		at, k.nextAt = k, w.Now+quiet
+		return d
+	}
+	return func() *Worker { return at }
+}
+
+func TestALaunchHeldUpUntilLongAfterACancellationStartsNothing(t *testing.T) {
+	// Whether the task had been shown or not when it was cancelled: the worker then
+	// refuses the launch for its token, or knows the attempt and ignores it.
+	for _, c := range []struct {
+		name   string
+		quiet  time.Duration
+		starts int
+	}{{"never shown", 6 * time.Second, 0}, {"started by an answer", 0, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := idleMachines(t, 101, 2, "a")
+			at := holdLaunch(w, "job-1", w.Cfg.Cancel+30*time.Second, c.quiet)
+			job := w.Submit(plain("job-1", 1), 5*time.Minute)
+			require.True(t, w.Until(10*time.Second, func() bool { return at() != nil }), "a launch is held up")
+			sent := w.Now
+			if c.starts > 0 {
+				require.True(t, w.Until(5*time.Second, started(w, "job-1", 1)))
+			}
+			w.Stop(job)
+			ends(t, w, job, 3*time.Second)
+			w.Run(sent + w.Cfg.Cancel + 40*time.Second - w.Now)
+			assert.Equal(t, c.starts, job.Starts)
+			assert.Equal(t, uint64(1), at().session, "nothing else kept it from starting")
+		})
+	}
+}
+
+func TestAGangStoppedWhileALaunchIsHeldUpStartsOnce(t *testing.T) {
+	w := idleMachines(t, 102, 5, "a")
+	var held, unreached *Worker
+	w.Held = func(k *Worker, what any) time.Duration {
+		switch {
+		case !launches(what, "job-1"):
+		case held == nil: // reports when the other task's failure is known
+			held, k.nextAt = k, w.Now+2500*time.Millisecond
+			return 9 * time.Second
+		}
+		return 0
+	}
+	s := plain("job-1", 2)
+	s.Gang = true
+	// One of its machines can't be reached: its task is free at once, and the gang is
+	// stopped as a whole.
+	unreached = alive(w, "a")[0]
+	w.Cut("node-0", unreached.name, 1800*time.Millisecond, false)
+	job := w.Submit(s, 20*time.Second)
+	require.True(t, w.Until(15*time.Second, started(w, "job-1", 2)))
+	require.NotNil(t, held)
+	require.NotEqual(t, held, unreached)
+	w.Run(15 * time.Second)
+	ends(t, w, job, time.Minute)
+	assert.Equal(t, 2, job.Starts)
+}
+
+func TestCopiesOfAnEarlierSessionKeptForTheNextLeaderSettleNothing(t *testing.T) {
+	w := idleMachines(t, 103, 4, "a", "b", "c")
+	first := map[*Worker]core.Report{}
+	for _, k := range alive(w, "a") {
+		first[k] = k.report()
+		w.Cut("node-0", k.name, w.Cfg.Lease+2*time.Second, false)
+		w.Cut("node-1", k.name, w.Cfg.Lease+2*time.Second, false)
+		w.Cut("node-2", k.name, w.Cfg.Lease+2*time.Second, false)
+	}
+	w.Run(w.Cfg.Lease + time.Second)
+	second := map[*Worker]core.Report{}
+	for k := range first {
+		require.Equal(t, uint64(2), k.session, "its lease ran out while it was idle")
+		second[k] = k.report()
+	}
+	w.Run(5 * time.Second)
+	job := w.Submit(plain("job-1", 2), time.Minute)
+	require.True(t, w.Until(10*time.Second, started(w, "job-1", 2)))
+	for k := range w.On("job-1") { // nobody reaches it while the leader changes
+		for _, n := range w.Nodes {
+			w.Cut(n.Name, k.name, 9*time.Second, false)
+		}
+	}
+	claims := 0
+	w.OnClaim(func(_, zone string) {
+		if claims++; zone != "a" || claims > 1 {
+			return
+		}
+		for i, reports := range []map[*Worker]core.Report{first, second} {
+			w.After(time.Duration(1+i)*100*time.Millisecond, func() {
+				for k := range w.On("job-1") {
+					for _, n := range w.Nodes {
+						n.hears(reports[k])
+					}
+				}
+			})
+		}
+	})
+	w.Nodes[0].Restart(25 * time.Second)
+	require.True(t, w.Until(8*time.Second, func() bool { return claims > 0 }), "another leader begins")
+	ends(t, w, job, 2*time.Minute)
+	assert.Equal(t, 2, job.Starts, "what ran was left alone")
+}
+
+func TestANewLeaderLaunchesNothingThatItInherited(t *testing.T) {
+	// The leader ends between a placement and its launch. The next one's first answer
+	// is under way for 3 s; before that the machine shows its token and not the task,
+	// which is free to start elsewhere then.
+	w := idleMachines(t, 104, 1, "a")
+	node := w.Nodes[0]
+	big := func(id string, tasks int, cores float64) core.Spec {
+		s := plain(id, tasks)
+		s.Types, s.Need.Cores = []string{"large"}, cores
+		return s
+	}
+	w.Submit(big("job-2", 2, 9), 5*time.Minute) // keeps both machines
+	require.True(t, w.Until(time.Minute, started(w, "job-2", 2)))
+	w.Run(5 * time.Second)
+	var at *Worker
+	w.Store.Carried = append(w.Store.Carried, func(_ string, txn core.Txn, _ core.CommitResult) {
+		for _, s := range txn.Apply {
+			for _, k := range alive(w, "a") {
+				if at == nil && s.Key == "slice/a/job-1" && strings.Contains(string(s.Value), k.name) {
+					at = k
+					node.Restart(50 * time.Millisecond)
+				}
+			}
+		}
+	})
+	w.OnClaim(func(string, string) { // its report is the first that the next leader hears of it
+		w.After(40*time.Millisecond, func() {
+			at.flying, at.dirty, at.nextAt, at.lastSent = false, true, 0, 0
+			at.maybeBeat()
+		})
+	})
+	answered := false
+	w.Held = func(k *Worker, what any) time.Duration {
+		if r, ok := what.(core.BeatReply); ok && node.life == 2 && r.Status == 200 && k == at && !answered {
+			answered = true
+			k.Recall(time.Minute) // its next start is elsewhere
+			return 3 * time.Second
+		}
+		return 0
+	}
+	job := w.Submit(big("job-1", 1, 4), 20*time.Second)
+	require.True(t, w.Until(20*time.Second, started(w, "job-1", 1)))
+	require.True(t, answered && node.life == 2, "the leader ended between the two")
+	w.Run(5 * time.Second)
+	ends(t, w, job, time.Minute)
+	assert.Equal(t, 1, job.Starts)
+}
+
+func TestAMachineReturnedStaysReturnedWhateverCopiesCome(t *testing.T) {
+	w := oneController(t, 105, nil)
+	ends(t, w, w.Submit(plain("job-1", 2), 3*time.Second), time.Minute)
+	late := map[*Worker]core.Report{}
+	for _, k := range alive(w, "a") {
+		late[k] = k.report()
+	}
+	require.True(t, w.Until(2*time.Minute, allGone(w)))
+	for _, rep := range late {
+		w.Nodes[0].hears(rep)
+	}
+	w.Run(200 * time.Millisecond)
+	for _, p := range w.Nodes[0].Core.Status().Parts {
+		assert.Empty(t, p.Hosts)
+	}
+}
+
+func TestALeaderAloneStepsDownAtItsWorkersWordAndTheyKeepTheirLeases(t *testing.T) {
+	w := idleMachines(t, 106, 3, "a", "b", "c")
+	job := w.Submit(plain("job-1", 3), time.Minute)
+	require.True(t, w.Until(10*time.Second, started(w, "job-1", 3)))
+	w.Alone(w.Nodes[0], 50*time.Second, false)
+	claimed := false
+	w.OnClaim(func(node, zone string) { claimed = claimed || zone == "a" && node != "node-0" })
+	require.True(t, w.Until(10*time.Second, func() bool { return claimed }), "another leader begins")
+	w.Run(w.Cfg.Lease)
+	for _, p := range w.Nodes[0].Core.Status().Parts {
+		assert.False(t, p.Here && p.Zone == "a", "the former leader has stepped down")
+	}
+	ends(t, w, job, 2*time.Minute)
+	assert.Equal(t, 3, job.Starts, "nothing had to run again")
+}
