Asking why a job waits asks nothing of the state service

explain reckoned a team's room as the planner does, which reads the grants anew after a claim. Effects of a question are never carried out, so while a controller claimed a further part, an operator's look left the read open for ever, and that team got nothing placed by this controller any more. Questions now reckon with what is known. A story looks every millisecond while a part changes hands; without the change a job of it had not ended after three minutes.

--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -109,9 +109,9 @@
 	case s.job.doubt > 0:
 		return fmt.Sprintf("its tasks fail on every machine (%d so far, last on %v), as if submitted with a mistake; one at a time is tried, the next in %.0f s",
 			s.job.failures, s.job.failedNames(), seconds(max(s.job.doubtAt-c.now, 0)))
-	case c.limits[s.job.team].Limit.limits(s.job.spec.Need) && !c.quotas[s.job.team].known:
+	case c.limits[s.job.team].Limit.limits(s.job.spec.Need) && (!c.quotas[s.job.team].known || c.quotas[s.job.team].need):
 		return "the team's grants are not known yet"
-	case c.room(p, s.job.team, s.job.spec.Need) == 0:
+	case c.roomKnown(p, s.job.team, s.job.spec.Need) == 0:
 		return "the team's limit is used up"
 	case c.now < s.job.holdTo:
 		return "its last start was refused a moment ago"
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -152,13 +152,21 @@
 // room is how many more tasks of need the team may run in the part: within
 // the part's grant and what nobody holds.
 func (c *Core) room(p *part, team int, need Amount) int {
+	if q := c.quotas[team]; c.limits[team].Limit.limits(need) && (!q.known || q.need) {
+		c.readQuota(q)
+	}
+	return c.roomKnown(p, team, need)
+}
+
+// roomKnown is the same for operators' questions, which must not change anything: what
+// they ask of the outside is never carried out, and would be waited for for ever.
+func (c *Core) roomKnown(p *part, team int, need Amount) int {
 	q, lim := c.quotas[team], c.limits[team].Limit
 	n := math.MaxInt32
 	if !lim.limits(need) {
 		return n
 	}
 	if !q.known || q.need {
-		c.readQuota(q)
 		return 0
 	}
 	sum, mine, used := q.sum(), q.grants[p.name], p.used[team]
