Status and metrics show which queue is stuck and which replicas are missing, and why

Status listed tasks waiting by class, for the parts owned by the controller asked, and said nothing of services; why work waits could be asked job by job only. Owners now tell in gossip, beside each job's counts, of services that miss replicas how many start, fetch their image or wait, since when and why, and per class and team what does not run yet, the longest wait and what binds that job. Metrics have the same for the parts a controller owns, without jobs as labels. Cards of teams are shown beside their cores.

Work of a team that the settings no longer name is shown as such; explain would have ended the process for it.

--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,9 @@
 
 // get asks a controller and decodes its answer.
 func get(addr, path string, into any) error {
+	if addr == "" {
+		return errors.New("--addr: HOST:PORT of a controller is needed")
+	}
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return fmt.Errorf("--addr: %q is not HOST:PORT", addr)
 	}
@@ -40,34 +44,96 @@
 	return nil
 }
 
+// statusFlags are how status is asked and printed.
+type statusFlags struct {
+	addr       string
+	json, all  bool
+	stuckAfter float64
+}
+
 func statusCommand() *cobra.Command {
-	var addr string
+	var f statusFlags
 	cmd := &cobra.Command{Use: "status", Short: "Print a controller's view of the cluster", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var s core.Status
-			if err := get(addr, "/status", &s); err != nil {
+			if err := get(f.addr, "/status", &s); err != nil {
 				return err
 			}
-			return printStatus(cmd.OutOrStdout(), &s)
+			print := func() error { return printStatus(cmd.OutOrStdout(), &s, f.all) }
+			if f.json {
+				print = func() error { return printJSON(cmd.OutOrStdout(), &s) }
+			}
+			if err := print(); err != nil {
+				return err
+			}
+			return stuck(&s, f.stuckAfter)
 		}}
-	cmd.Flags().StringVar(&addr, "addr", "", "the controller's api_addr")
+	addFlags(cmd, &f.addr, &f.json)
+	cmd.Flags().BoolVar(&f.all, "all", false, "list also services all of whose replicas are up")
+	cmd.Flags().Float64Var(&f.stuckAfter, "stuck-after", 0, "end with status 3 if a queue or a service's replicas have waited for more seconds than this; 0: never")
 	return cmd
 }
 
 func explainCommand() *cobra.Command {
 	var addr string
+	var asJSON bool
 	cmd := &cobra.Command{Use: "explain JOB", Short: "Say where a job's tasks are and why the others wait", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var e core.Explanation
 			if err := get(addr, "/explain/"+url.PathEscape(args[0]), &e); err != nil {
 				return err
 			}
+			if asJSON {
+				return printJSON(cmd.OutOrStdout(), &e)
+			}
 			return printExplanation(cmd.OutOrStdout(), &e)
 		}}
-	cmd.Flags().StringVar(&addr, "addr", "", "the controller's api_addr")
+	addFlags(cmd, &addr, &asJSON)
 	return cmd
 }
 
+func addFlags(cmd *cobra.Command, addr *string, asJSON *bool) {
+	cmd.Flags().StringVar(addr, "addr", "", "the controller's api_addr, HOST:PORT")
+	cmd.Flags().BoolVar(asJSON, "json", false, "print JSON")
+}
+
+func printJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// stuckError says that something has waited too long; status ends with exitStuck then.
+type stuckError struct{ error }
+
+// stuck is an error if anything has waited for longer than limit seconds, unless that is 0.
+func stuck(s *core.Status, limit float64) error {
+	if limit <= 0 {
+		return nil
+	}
+	count, longest, what := 0, 0.0, ""
+	see := func(waited float64, name string, why fmt.Stringer) {
+		if waited > limit {
+			count++
+		}
+		if waited > longest {
+			longest, what = waited, fmt.Sprintf("%s: %v", name, why)
+		}
+	}
+	for _, q := range s.Queues {
+		see(q.WaitS, fmt.Sprintf("%s of %s in %s", q.Class, q.Team, q.Part), q.Why)
+	}
+	for _, v := range s.Services {
+		for _, w := range v.Why {
+			see(v.MissingS, fmt.Sprintf("service %s in %s", v.Job, w.Part), w.Why)
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	return stuckError{fmt.Errorf("%d waited for more than %gs, the longest %.0fs, %s", count, limit, longest, what)}
+}
+
 // ago says how long ago something was; a negative age means never.
 func ago(s float64) string {
 	if s < 0 {
@@ -84,12 +150,15 @@
 	return fmt.Sprintf("%g", v)
 }
 
-func printStatus(out io.Writer, s *core.Status) error {
+// printStatus prints tables: what needs a look first comes first.
+func printStatus(out io.Writer, s *core.Status, all bool) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "%s in %s\thealthy: %t\tstore seen: %s\tcloud seen: %s\n", s.Label, s.Zone, s.Healthy, ago(s.Store.AgeS), ago(s.Cloud.AgeS))
 	for _, d := range s.Degraded {
 		fmt.Fprintf(w, "DEGRADED\t%s\tfor %.1fs\n", d.Mode, d.SinceS)
 	}
+	printQueues(w, s.Queues)
+	printServices(w, s.Services, all)
 	fmt.Fprintln(w, "\nPART\tOWNER\tTOKEN\tJOBS\tWAITING\tON MACHINES\tMACHINES")
 	for _, p := range s.Parts {
 		var hosts []string
@@ -106,9 +175,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n", p.Zone, p.Owner, p.Token, jobs, waiting, running, strings.Join(hosts, ", "))
 	}
-	fmt.Fprintln(w, "\nTEAM\tCORES\tGUARANTEE\tLIMIT")
+	fmt.Fprintln(w, "\nTEAM\tCORES\tGUARANTEE\tLIMIT\tCARDS\tGUARANTEE\tLIMIT")
 	for _, t := range s.Teams {
-		fmt.Fprintf(w, "%s\t%g\t%s\t%s\n", t.Team, t.Cores, orNone(t.Guarantee), orNone(t.Limit))
+		fmt.Fprintf(w, "%s\t%g\t%s\t%s\t%g\t%s\t%s\n", t.Team, t.Cores, orNone(t.Guarantee), orNone(t.Limit), t.Cards, orNone(t.CardsGuarantee), orNone(t.CardsLimit))
 	}
 	fmt.Fprintln(w, "\nCLASS (parts owned here)\tWAITING\tON MACHINES")
 	for _, c := range s.Classes {
@@ -127,15 +196,73 @@
 	return w.Flush()
 }
 
+func printQueues(w io.Writer, queues []core.Queue) {
+	if len(queues) == 0 {
+		fmt.Fprintln(w, "\nnothing waits")
+		return
+	}
+	fmt.Fprintln(w, "\nQUEUE\tTEAM\tPART\tLONGEST WAIT\tWAITING\tFETCHING\tSTARTING\tUP\tWAITS LONGEST\tWHY")
+	for _, q := range queues {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.0fs\t%d\t%d\t%d\t%d\t%s\t%s\n", q.Class, q.Team, q.Part, q.WaitS, q.Waiting, q.Fetching, q.Starting, q.Up, q.Job, q.Why)
+	}
+}
+
+// printServices prints the services that miss replicas, or all.
+func printServices(w io.Writer, services []core.ServiceStatus, all bool) {
+	whole, replicas, head := 0, 0, false
+	for _, s := range services {
+		if s.Up == s.Wanted {
+			whole++
+			replicas += s.Up
+			if !all {
+				continue
+			}
+		}
+		if !head {
+			head = true
+			fmt.Fprintln(w, "\nSERVICE\tCLASS\tTEAM\tWANTED\tUP\tSTARTING\tFETCHING\tWAITING\tUNKNOWN\tMISSING FOR\tWHY")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0fs\t%s\n", s.Job, s.Class, s.Team, s.Wanted, s.Up, s.Starting, s.Fetching, s.Waiting, s.Unknown, s.MissingS, whys(s.Why))
+	}
+	if len(services) > 0 {
+		fmt.Fprintf(w, "\n%d of %d services whole, with %d replicas\n", whole, len(services), replicas)
+	}
+}
+
+func whys(list []core.PartWhy) string {
+	var out []string
+	for _, p := range list {
+		text := p.Detail
+		if text == "" {
+			text = p.Why.String()
+		}
+		out = append(out, p.Part+": "+text)
+	}
+	return strings.Join(out, "; ")
+}
+
 func printExplanation(out io.Writer, e *core.Explanation) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "%s: %s\n", e.Job, e.Standing)
+	if s := e.Service; s != nil {
+		fmt.Fprintf(w, "service\twanted %d, up %d, starting %d, fetching %d, waiting %d, unknown %d\n", s.Wanted, s.Up, s.Starting, s.Fetching, s.Waiting, s.Unknown)
+		if s.MissingS > 0 {
+			fmt.Fprintf(w, "\treplicas missing for %.0fs\n", s.MissingS)
+		}
+	}
 	for _, p := range e.Parts {
-		if !p.Here {
-			fmt.Fprintf(w, "%s\tis looked after by %s: ask there\n", p.Part, p.Owner)
+		switch {
+		case p.Here:
+			fmt.Fprintf(w, "%s\t%d done, %d waiting, %d on machines, %d of them running\n", p.Part, p.Done, p.Waiting, len(p.Running), p.Up)
+		case p.Owner == "":
+			fmt.Fprintf(w, "%s\thas no owner\n", p.Part)
 			continue
+		default:
+			fmt.Fprintf(w, "%s\tis looked after by %s: ask there for more\n", p.Part, p.Owner)
+			if p.Done+p.Waiting+p.Up > 0 {
+				fmt.Fprintf(w, "\tit said: %d done, %d running\n", p.Done, p.Up)
+			}
 		}
-		fmt.Fprintf(w, "%s\t%d done, %d waiting, %d on machines\n", p.Part, p.Done, p.Waiting, len(p.Running))
 		if p.Why != "" {
 			fmt.Fprintf(w, "\twaiting: %s\n", p.Why)
 		}
--- a/cmd/roadcleat/root.go
+++ b/cmd/roadcleat/root.go
@@ -14,8 +14,12 @@
 // version is the release this binary belongs to.
 const version = "0.1.0"
 
-// exitSettings is the status of a start that wrong settings ended.
-const exitSettings = 2
+// Exit statuses beside 0 and 1: wrong settings ended the start; status found something
+// that has waited too long.
+const (
+	exitSettings = 2
+	exitStuck    = 3
+)
 
 // settingsError marks errors of the settings.
 type settingsError struct{ error }
@@ -33,10 +37,12 @@
 		return 0
 	}
 	fmt.Fprintln(stderr, "roadcleat:", err)
-	var s settingsError
-	if errors.As(err, &s) {
+	if errors.As(err, new(settingsError)) {
 		return exitSettings
 	}
+	if errors.As(err, new(stuckError)) {
+		return exitStuck
+	}
 	return 1
 }
 
--- a/cmd/roadcleat/root_test.go
+++ b/cmd/roadcleat/root_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
 )
 
 func run(args ...string) (int, string, string) {
@@ -60,3 +63,84 @@
 		assert.Equal(t, 1, strings.Count(errs, "\n"), errs)
 	}
 }
+
+// serving answers operators' questions with a fixed status and explanation.
+func serving(t *testing.T, status, explanation string) (addr string) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := status
+		if strings.HasPrefix(r.URL.Path, "/explain/") {
+			body = explanation
+		}
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+const stuckStatus = `{"label":"n0","queues":[
+{"part":"z","class":"work","team":"red","waiting":40,"fetching":2,"wait_s":95,"job":"job-000003","why":"at_limit"},
+{"part":"y","class":"work","team":"blue","waiting":1,"wait_s":4,"job":"job-000004","why":"of_a_later_version"}],
+"services":[
+{"job":"job-000007","class":"live","team":"red","wanted":8,"up":5,"starting":0,"fetching":1,"waiting":1,"unknown":1,"missing_s":31,
+"why":[{"part":"z","why":"image_fetch","detail":"its image is being fetched; on vm-9 for 12 s, expected in 8 s"},{"part":"y","why":"part_unheard"}]},
+{"job":"job-000008","class":"live","team":"red","wanted":6,"up":6}]}`
+
+func TestStatusShowsWhatIsStuck(t *testing.T) {
+	addr := serving(t, stuckStatus, "")
+	code, out, _ := run("status", "--addr", addr)
+	assert.Zero(t, code)
+	for _, want := range []string{"the team's limit is used up", "95s", "job-000003", "only a newer version knows",
+		"z: its image is being fetched; on vm-9 for 12 s, expected in 8 s; y: the part's owner has not been heard of lately",
+		"1 of 2 services whole, with 6 replicas"} {
+		assert.Contains(t, out, want)
+	}
+	assert.NotContains(t, out, "job-000008", "nothing is missing there")
+	assert.Less(t, strings.Index(out, "job-000003"), strings.Index(out, "OWNER"), "what waits comes first")
+	_, out, _ = run("status", "--addr", addr, "--all")
+	assert.Contains(t, out, "job-000008")
+	code, out, _ = run("status", "--addr", addr, "--json")
+	assert.Zero(t, code)
+	var s core.Status
+	require.NoError(t, json.Unmarshal([]byte(out), &s))
+	assert.Equal(t, core.AtLimit, s.Queues[0].Why)
+	assert.Equal(t, 5, s.Services[0].Up)
+}
+
+func TestStatusEndsWithThreeWhenSomethingHasWaitedTooLong(t *testing.T) {
+	addr := serving(t, stuckStatus, "")
+	for _, c := range []struct {
+		after string
+		code  int
+		says  string
+	}{{"0", 0, ""}, {"100", 0, ""}, {"60", 3, "1 waited for more than 60s, the longest 95s, work of red in z: the team's limit is used up"}, {"30", 3, "3 waited"}} {
+		code, _, errs := run("status", "--addr", addr, "--stuck-after", c.after)
+		assert.Equal(t, c.code, code, c.after)
+		assert.Contains(t, errs, c.says)
+		assert.Equal(t, min(c.code, 1), strings.Count(errs, "\n"))
+	}
+}
+
+func TestExplainOfAServiceCountsItsReplicas(t *testing.T) {
+	addr := serving(t, "", `{"job":"job-000007","standing":"unfinished",
+"service":{"wanted":8,"up":5,"fetching":1,"waiting":1,"unknown":1,"missing_s":31},
+"parts":[{"part":"z","here":true,"up":3,"waiting":1,"reason":"no_capacity","why":"no room; the cloud has no machine to give"},{"part":"y","owner":"n1","up":2},{"part":"x"}]}`)
+	code, out, _ := run("explain", "--addr", addr, "job-000007")
+	assert.Zero(t, code)
+	for _, want := range []string{"wanted 8, up 5, starting 0, fetching 1, waiting 1, unknown 1", "missing for 31s", "no machine to give", "it said: 0 done, 2 running", "has no owner"} {
+		assert.Contains(t, out, want)
+	}
+	_, out, _ = run("explain", "--addr", addr, "--json", "job-000007")
+	var e core.Explanation
+	require.NoError(t, json.Unmarshal([]byte(out), &e))
+	assert.Equal(t, 8, e.Service.Wanted)
+}
+
+func TestQuestionsWithoutAnAddressSaySo(t *testing.T) {
+	for _, args := range [][]string{{"status"}, {"explain", "job-000001"}, {"explain"}, {"status", "--all=maybe"}} {
+		code, _, errs := run(args...)
+		assert.Equal(t, 1, code, args)
+		assert.Equal(t, 1, strings.Count(errs, "\n"), errs)
+	}
+	_, _, errs := run("status")
+	assert.Contains(t, errs, "--addr: HOST:PORT of a controller is needed")
+}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -61,8 +61,8 @@
 }
 
 func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
-	answer := make(chan core.Stats, 1)
-	if s.ask(w, r, func(c *core.Core) { answer <- c.Stats() }) {
+	answer := make(chan core.Gauges, 1)
+	if s.ask(w, r, func(c *core.Core) { answer <- c.Gauges() }) {
 		s.seen.Handler(<-answer).ServeHTTP(w, r)
 	}
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -406,6 +406,7 @@
 	Show   []Shown
 	Used   map[string]Amount
 	Fill   map[string]float64 // cores that fillers may take, by type
+	Queues []Queue            // what does not run yet, by class and team
 }
 
 // Offer names a kind of machine.
@@ -441,8 +442,14 @@
 	Share       float64
 }
 
-// Shown holds a job's counts for display.
+// Shown holds a job's counts for display. Of services with replicas missing, which
+// are few, it also says what has become of those and why.
 type Shown struct {
-	ID            string
-	Done, Running int
+	ID                          string
+	Done, Running               int
+	Starting, Fetching, Waiting int
+	MissingS                    float64
+	Why                         Reason
 }
+
+func (s *Shown) tally() Tally { return Tally{s.Running, s.Starting, s.Fetching, s.Waiting} }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -190,12 +190,21 @@
 			v.Scarce = append(v.Scarce, o)
 		}
 	}
+	first := c.firstUp(p)
 	for _, id := range sorted(p.slices) {
 		s := p.slices[id]
 		if s.job.standing == Pending {
-			v.Show = append(v.Show, Shown{id, s.done.count(), s.running()})
+			n := s.tally()
+			c.seeMissing(s, n)
+			shown := Shown{ID: id, Done: s.done.count(), Running: n.Up}
+			if s.job.spec.Service && n.missing() > 0 {
+				shown.Starting, shown.Fetching, shown.Waiting, shown.MissingS = n.Starting, n.Fetching, n.Waiting, math.Round(c.missingS(s))
+				shown.Why, _ = c.why(p, s, n, first)
+			}
+			v.Show = append(v.Show, shown)
 		}
 	}
+	v.Queues = c.queuesOf(p, first)
 	for t, a := range p.used {
 		if a.Cores > 0 || a.Cards > 0 {
 			v.Used[c.limits[t].Name] = a
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -23,6 +23,8 @@
 	busy    bool
 	shortAt time.Duration   // since when none of its waiting tasks could start
 	making  []time.Duration // room being made for its tasks, each until when at most
+	// Since when some of its tasks have not been running, for operators; 0: all run.
+	missingAt time.Duration
 }
 
 type outcome struct {
@@ -96,7 +98,7 @@
 		}
 		return
 	}
-	s := &slice{job: j, tasks: map[int]*task{}, settled: map[int]outcome{}}
+	s := &slice{job: j, tasks: map[int]*task{}, settled: map[int]outcome{}, missingAt: j.since}
 	p.slices[id] = s
 	c.reconcile(p, s, value, stamp)
 	if j.standing != Pending {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -5,18 +5,20 @@
 // Status is what operators are shown of a controller. It is a copy: reading it
 // costs the owner goroutine one short walk and the state service nothing.
 type Status struct {
-	Label    string       `json:"label"`
-	Zone     string       `json:"zone"`
-	Healthy  bool         `json:"healthy"`
-	Store    Freshness    `json:"store"`
-	Cloud    Freshness    `json:"cloud"`
-	Degraded []Degraded   `json:"degraded"`
-	Parts    []PartStatus `json:"parts"`
-	Teams    []TeamStatus `json:"teams"`
-	Classes  []ClassCount `json:"classes"`
-	Doubtful []Doubtful   `json:"doubtful"`
-	Peers    []PeerStatus `json:"peers"`
-	Stats    Stats        `json:"stats"`
+	Label    string          `json:"label"`
+	Zone     string          `json:"zone"`
+	Healthy  bool            `json:"healthy"`
+	Store    Freshness       `json:"store"`
+	Cloud    Freshness       `json:"cloud"`
+	Degraded []Degraded      `json:"degraded"`
+	Parts    []PartStatus    `json:"parts"`
+	Teams    []TeamStatus    `json:"teams"`
+	Classes  []ClassCount    `json:"classes"`
+	Queues   []Queue         `json:"queues"`
+	Services []ServiceStatus `json:"services"`
+	Doubtful []Doubtful      `json:"doubtful"`
+	Peers    []PeerStatus    `json:"peers"`
+	Stats    Stats           `json:"stats"`
 }
 
 // Freshness is how old a view is, in seconds; negative when there is none.
@@ -53,10 +55,13 @@
 
 // TeamStatus is a team's use in all parts, as far as known here.
 type TeamStatus struct {
-	Team      string  `json:"team"`
-	Cores     float64 `json:"cores"`
-	Guarantee float64 `json:"guarantee"`
-	Limit     float64 `json:"limit"`
+	Team           string  `json:"team"`
+	Cores          float64 `json:"cores"`
+	Guarantee      float64 `json:"guarantee"`
+	Limit          float64 `json:"limit"`
+	Cards          float64 `json:"cards"`
+	CardsGuarantee float64 `json:"cards_guarantee"`
+	CardsLimit     float64 `json:"cards_limit"`
 }
 
 // ClassCount counts the tasks of a class in the parts owned here.
@@ -131,13 +136,15 @@
 		s.Parts = append(s.Parts, ps)
 	}
 	for t, l := range c.limits {
-		s.Teams = append(s.Teams, TeamStatus{l.Name, c.teamUse(t).Cores, l.Guarantee.Cores, l.Limit.Cores})
+		s.Teams = append(s.Teams, TeamStatus{l.Name, c.teamUse(t).Cores, l.Guarantee.Cores, l.Limit.Cores,
+			c.teamUse(t).Cards, l.Guarantee.Cards, l.Limit.Cards})
 	}
 	for i, name := range c.classes.list {
 		if waiting[i]+running[i] > 0 {
 			s.Classes = append(s.Classes, ClassCount{name, waiting[i], running[i]})
 		}
 	}
+	s.Queues, s.Services = c.queues(), c.services("")
 	for _, id := range sorted(c.jobs) {
 		if j := c.jobs[id]; j.doubt > 0 {
 			s.Doubtful = append(s.Doubtful, Doubtful{id, j.spec.Team, j.spec.Class, j.failures, j.failedNames(), seconds(max(j.doubtAt-c.now, 0))})
--- a/internal/fake/status_test.go
+++ b/internal/fake/status_test.go
@@ -1,13 +1,167 @@
 package fake
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
 )
 
+// replicas is a service of n of them, spread over zones.
+func replicas(id string, n int) core.Spec {
+	s := spec(id, "red", n, 2)
+	s.Service, s.Apart, s.Class, s.Estimate = true, true, "live", 0
+	return s
+}
+
+// queueOf is the row of the class that a controller shows with the longest wait.
+func queueOf(n *Node, class string) core.Queue {
+	for _, q := range n.Core.Status().Queues {
+		if q.Class == class {
+			return q
+		}
+	}
+	return core.Queue{}
+}
+
+// serviceOf is a controller's row of a service.
+func serviceOf(n *Node, id string) core.ServiceStatus {
+	for _, s := range n.Core.Status().Services {
+		if s.Job == id {
+			return s
+		}
+	}
+	return core.ServiceStatus{}
+}
+
+// because says whether a controller gives the reason for a service's missing replicas.
+func because(s core.ServiceStatus, why core.Reason) bool {
+	for _, w := range s.Why {
+		if w.Why == why {
+			return true
+		}
+	}
+	return false
+}
+
+func TestEveryControllerSaysWhichReplicasOfAServiceAreUp(t *testing.T) {
+	w := day(t, 8301)
+	service := w.Submit(replicas("job-1", 6), 0)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 6)))
+	w.Run(4 * time.Second)
+	zones := map[string]bool{}
+	for k := range w.On("job-1") {
+		zones[k.zone] = true
+	}
+	require.Greater(t, len(zones), 1, "it has replicas in parts of several owners")
+	for _, n := range w.Nodes {
+		s := serviceOf(n, "job-1")
+		assert.Equal(t, core.ServiceStatus{Job: "job-1", Class: "live", Team: "red", Wanted: 6, Tally: core.Tally{Up: 6}}, s, n.Name)
+	}
+	replicas := 0
+	for _, n := range w.Nodes {
+		for _, q := range n.Core.Gauges().Replicas {
+			replicas += q.Up
+		}
+	}
+	assert.Equal(t, 6, replicas, "summed over controllers, gauges count each once")
+	w.Cloud.Room = map[string]int{} // nothing more to be had
+	k := anyOn(w, "job-1")
+	for other := range w.Workers { // and no room elsewhere
+		if o := w.Workers[other]; !o.gone && o != k && o.zone == k.zone && w.On("job-1")[o] == 0 {
+			o.Die()
+		}
+	}
+	lost := w.On("job-1")[k]
+	k.Die()
+	seen := map[string]bool{}
+	require.True(t, w.Until(60*time.Second, func() bool {
+		for _, n := range w.Nodes {
+			s := serviceOf(n, "job-1")
+			if s.Up == 6-lost && s.Up+s.Starting+s.Fetching+s.Waiting+s.Unknown == 6 && s.MissingS > 0 && len(s.Why) > 0 {
+				seen[n.Name] = true
+			}
+		}
+		return len(seen) == len(w.Nodes)
+	}), "all of them show %d lost: %v", lost, seen)
+	w.Stop(service)
+	ends(t, w, service, 30*time.Second)
+	w.Run(2 * time.Second)
+	for _, n := range w.Nodes {
+		assert.Empty(t, n.Core.Status().Services)
+	}
+}
+
+func TestAQueueThatIsStuckNamesWhatBindsItAtEveryController(t *testing.T) {
+	nothing := func(w *World) { w.Cloud.Room = map[string]int{} }
+	for _, c := range []struct {
+		why     core.Reason
+		trouble func(w *World, s *core.Spec)
+		atAll   bool // at every controller, not only at one
+	}{
+		{core.AtLimit, func(w *World, s *core.Spec) { s.Tasks, s.Zone = 30, "a" }, true},
+		{core.NoCapacity, func(w *World, s *core.Spec) { nothing(w) }, true},
+		{core.Booting, func(w *World, s *core.Spec) { w.Cloud.BootS = func(string) float64 { return 20 } }, true},
+		{core.ImageFetch, func(w *World, s *core.Spec) { s.ImageGB = 20 }, true},
+		{core.HeldBack, func(w *World, s *core.Spec) {
+			nothing(w)
+			s.Team, s.Priority = "guest", 3
+		}, true},
+		{core.StoreAway, func(w *World, s *core.Spec) {
+			nothing(w)
+			w.After(10*time.Second, func() { w.Store.Outage(20 * time.Second) })
+		}, true},
+		{core.InDoubt, func(w *World, s *core.Spec) {}, false},
+	} {
+		t.Run(c.why.Name(), func(t *testing.T) {
+			w := New(8302, guests(Settings()))
+			t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+			w.Run(3 * time.Second)
+			s := spec("job-1", "red", 6, 2)
+			c.trouble(w, &s)
+			job := w.Submit(s, 60*time.Second)
+			job.Broken = c.why == core.InDoubt
+			told := map[string]core.Queue{}
+			w.Until(90*time.Second, func() bool {
+				for _, n := range w.Nodes {
+					if q := queueOf(n, "work"); q.Why == c.why && q.WaitS > 2 {
+						told[n.Name] = q
+					}
+				}
+				return len(told) == len(w.Nodes)
+			})
+			require.NotEmpty(t, told)
+			assert.True(t, !c.atAll || len(told) == len(w.Nodes), "told by %v", told)
+			for _, q := range told {
+				assert.Equal(t, "job-1", q.Job)
+				assert.Equal(t, s.Team, q.Team)
+				assert.Positive(t, q.Waiting+q.Fetching)
+			}
+		})
+	}
+}
+
+func TestReplicasOfAPartThatNobodySpeaksForAreUnknown(t *testing.T) {
+	w := day(t, 8303)
+	w.Submit(replicas("job-1", 6), 0)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 6)))
+	w.Run(4 * time.Second)
+	w.Nodes[0].Crash()
+	w.Nodes[1].Crash()
+	last := w.Nodes[2]
+	require.True(t, w.Until(12*time.Second, func() bool {
+		s := serviceOf(last, "job-1")
+		return s.Unknown > 0 && s.Up+s.Unknown == 6 && (because(s, core.PartUnheard) || because(s, core.PartUnowned) || because(s, core.PartLoading))
+	}), "%+v", serviceOf(last, "job-1"))
+	require.True(t, w.Until(40*time.Second, func() bool { return serviceOf(last, "job-1").Up == 6 }), "and are known again: %+v", serviceOf(last, "job-1"))
+}
+
 func TestLookingChangesNothing(t *testing.T) {
 	// Operators look in every moment of a change of hands. What a look asked of the
 	// outside would never be carried out, and the answer be waited for for ever.
@@ -40,3 +194,57 @@
 		ends(t, w, j, 3*time.Minute)
 	}
 }
+
+func TestWordOfReplicasAndQueuesKeepsGossipLight(t *testing.T) {
+	size := func(g *core.Gossip) int {
+		var b bytes.Buffer
+		require.NoError(t, gob.NewEncoder(&b).Encode(core.Message{Gossip: g}))
+		return b.Len()
+	}
+	plain, full := core.PartView{Zone: "a"}, core.PartView{Zone: "a"}
+	for i := range 400 {
+		s := core.Shown{ID: fmt.Sprintf("job-%06d", i), Running: 3}
+		plain.Show = append(plain.Show, s)
+		if i < 40 { // one service in ten lacks replicas
+			s.Waiting, s.Fetching, s.MissingS, s.Why = 1, 1, 40, core.ImageFetch
+		}
+		full.Show = append(full.Show, s)
+	}
+	for i := range 16 {
+		full.Queues = append(full.Queues, core.Queue{Part: "a", Class: "work-class", Team: fmt.Sprintf("team-%d", i),
+			Tally: core.Tally{Up: 900, Fetching: 30, Waiting: 300}, WaitS: 120, Job: "job-000001", Why: core.Booting})
+	}
+	before, after := size(&core.Gossip{Parts: []core.PartView{plain}}), size(&core.Gossip{Parts: []core.PartView{full}})
+	t.Logf("%d bytes, %d with word of replicas and queues", before, after)
+	assert.Less(t, after-before, 3000)
+}
+
+func TestWorkOfATeamThatTheSettingsNoLongerNameIsShown(t *testing.T) {
+	w := day(t, 8305)
+	w.Cloud.Room = map[string]int{}
+	s := spec("job-1", "blue", 4, 2)
+	s.Zone = "a"
+	job := w.Submit(s, 5*time.Second)
+	require.True(t, w.Until(10*time.Second, func() bool { return job.Accepted }))
+	teams := w.Cfg.Teams
+	w.Cfg.Teams = teams[:1]
+	for _, n := range w.Nodes {
+		n.Restart(time.Second)
+	}
+	require.True(t, w.Until(30*time.Second, func() bool {
+		for _, n := range w.Nodes {
+			if q := queueOf(n, "work"); q.Why != core.TeamUnknown || q.Team != "blue" {
+				return false
+			}
+		}
+		return true
+	}))
+	e, ok := w.Nodes[0].Core.Explain("job-1")
+	require.True(t, ok)
+	assert.Equal(t, core.TeamUnknown, e.Parts[0].Reason)
+	w.Cfg.Teams, w.Cloud.Room = teams, map[string]int{roomKey("large", "a", true): 2}
+	for _, n := range w.Nodes {
+		n.Restart(time.Second)
+	}
+	ends(t, w, job, 2*time.Minute)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,10 +52,10 @@
 	s.calls.WithLabelValues(name, outcomes[out]).Inc()
 }
 
-// Handler serves the set together with the core's own counters, as read by
-// stats when asked.
-func (s *Set) Handler(stats core.Stats) http.Handler {
-	reg := prometheus.NewRegistry()
+// Handler serves the set together with what the core showed when asked.
+func (s *Set) Handler(g core.Gauges) http.Handler {
+	reg, stats := prometheus.NewRegistry(), g.Stats
+	reg.MustRegister(queues(g)...)
 	for _, c := range []struct {
 		name, help string
 		value      float64
@@ -77,3 +77,31 @@
 	}
 	return promhttp.HandlerFor(prometheus.Gatherers{s.reg, reg}, promhttp.HandlerOpts{DisableCompression: true})
 }
+
+// queues gives what waits, and the replicas of services, in the parts owned by this
+// controller: sums over controllers count each task once.
+func queues(g core.Gauges) []prometheus.Collector {
+	gauge := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "roadcleat_" + name, Help: help}, append([]string{"part", "class", "team"}, labels...))
+	}
+	tasks := gauge("queue_tasks", "Tasks of unfinished jobs that do not run yet, by how far they have come.", "state")
+	wait := gauge("queue_longest_wait_seconds", "How long the longest-waiting job has lacked running tasks.")
+	blocked := gauge("queue_blocked_tasks", "Tasks that do not run yet, by what binds the longest-waiting job of their queue.", "reason")
+	replicas := gauge("service_replicas", "Replicas of services, by how far they have come; the sum of all states is what is wanted.", "state")
+	for _, q := range g.Queues {
+		setStates(tasks, q, "starting", "fetching", "waiting")
+		wait.WithLabelValues(q.Part, q.Class, q.Team).Set(q.WaitS)
+		blocked.WithLabelValues(q.Part, q.Class, q.Team, q.Why.Name()).Set(float64(q.Starting + q.Fetching + q.Waiting))
+	}
+	for _, q := range g.Replicas {
+		setStates(replicas, q, "up", "starting", "fetching", "waiting")
+	}
+	return []prometheus.Collector{tasks, wait, blocked, replicas}
+}
+
+func setStates(v *prometheus.GaugeVec, q core.Queue, states ...string) {
+	n := map[string]int{"up": q.Up, "starting": q.Starting, "fetching": q.Fetching, "waiting": q.Waiting}
+	for _, state := range states {
+		v.WithLabelValues(q.Part, q.Class, q.Team, state).Set(float64(n[state]))
+	}
+}
