Bounds for services, cards and shared fetches

bounds knew arrays and cores only: of a service it said 0 cores. For sites with services or cards it now prints a line for each aim: the bound with all luck, what the same reckoning gives with usual boots and fetches, by what must be ready (room with the image, room, nothing) or how many images a machine fetches at a time at the start, and what binds. The output for the ten other site files is as before, to the letter.

--- a/cmd/bounds/main.go
+++ b/cmd/bounds/main.go
@@ -1,6 +1,7 @@
 // Command bounds reads a site file and prints, for each of its aims, how good
 // the figure could be at best on a day, whatever the scheduler does. The bounds
 // are coarse on purpose: each leaves out everything but the one cause it names.
+// Sites with services or cards get a line for each aim, see reportAims.
 package main
 
 import (
@@ -14,21 +15,38 @@
 )
 
 type spread struct {
-	Median float64 `toml:"median"`
-	P95    float64 `toml:"p95"`
-	Max    float64 `toml:"max"`
+	Median  float64   `toml:"median"`
+	P95     float64   `toml:"p95"`
+	Max     float64   `toml:"max"`
+	Sizes   []float64 `toml:"sizes"`   // these, if there are any,
+	Weights []float64 `toml:"weights"` // so often
 }
 
-// mean of a lognormal quantity with this median and 95th percentile, cut at max.
-func (s spread) mean() float64 {
+// sigma is the deviation of the logarithm.
+func (s spread) sigma() float64 {
 	if s.P95 <= s.Median || s.Median <= 0 {
+		return 0
+	}
+	return math.Log(s.P95/s.Median) / 1.645
+}
+
+// mean of a lognormal quantity with this median and 95th percentile, cut at max, or of
+// the sizes named.
+func (s spread) mean() float64 {
+	if len(s.Sizes) > 0 {
+		sum, weights := 0.0, 0.0
+		for i, w := range s.Weights {
+			sum += w * s.Sizes[i]
+			weights += w
+		}
+		return sum / weights
+	}
+	if s.sigma() == 0 {
 		return s.Median
 	}
-	sigma := math.Log(s.P95/s.Median) / 1.645
 	sum, n := 0.0, 2000
 	for i := 0; i < n; i++ {
-		z := math.Sqrt2 * math.Erfinv(2*(float64(i)+0.5)/float64(n)-1)
-		sum += math.Min(s.Median*math.Exp(sigma*z), s.Max)
+		sum += math.Min(s.Median*math.Exp(s.sigma()*normal((float64(i)+0.5)/float64(n))), s.Max)
 	}
 	return sum / float64(n)
 }
@@ -36,33 +54,68 @@
 type site struct {
 	Name     string  `toml:"name"`
 	Duration float64 `toml:"duration_s"`
-	Types    []struct {
-		Name  string  `toml:"name"`
-		CPUs  float64 `toml:"cpus"`
-		Price float64 `toml:"price"`
-		Spot  float64 `toml:"spot_price"`
-		Fetch float64 `toml:"fetch_gb_per_s"`
-		Boot  float64 `toml:"boot_s"`
-	} `toml:"machine_types"`
+	Warmup   float64 `toml:"warmup_s"` // what comes before does not count
+	State    struct {
+		Writes float64 `toml:"write_rps"`
+	} `toml:"state"`
+	Types    []machineType `toml:"machine_types"`
 	Capacity []struct {
 		Type  string  `toml:"type"`
 		Count float64 `toml:"count"`
 		Spot  float64 `toml:"spot"`
 	} `toml:"capacity"`
-	Jobs []struct {
-		Name     string  `toml:"name"`
-		CPUs     float64 `toml:"cpus"`
-		Tasks    spread  `toml:"tasks"`
-		Run      spread  `toml:"run_s"`
-		Arrivals struct {
-			Rate float64 `toml:"rate"`
-		} `toml:"arrivals"`
-		Images struct {
-			Count float64 `toml:"count"`
-			GB    spread  `toml:"gb"`
-		} `toml:"images"`
-	} `toml:"jobs"`
-	Days []day `toml:"day"`
+	Jobs    []job    `toml:"jobs"`
+	Targets []target `toml:"targets"`
+	Days    []day    `toml:"day"`
+}
+
+type machineType struct {
+	Name   string  `toml:"name"`
+	CPUs   float64 `toml:"cpus"`
+	GPUs   float64 `toml:"gpus"`
+	Memory float64 `toml:"memory_gb"`
+	Price  float64 `toml:"price"`
+	Spot   float64 `toml:"spot_price"`
+	Cache  float64 `toml:"cache_gb"`
+	Fetch  float64 `toml:"fetch_gb_per_s"`
+	Boot   float64 `toml:"boot_s"`
+}
+
+type job struct {
+	Name     string  `toml:"name"`
+	Kind     string  `toml:"kind"`
+	CPUs     float64 `toml:"cpus"`
+	GPUs     float64 `toml:"gpus"`
+	Memory   float64 `toml:"memory_gb"`
+	Spot     bool    `toml:"spot"`
+	Tasks    spread  `toml:"tasks"`
+	Run      spread  `toml:"run_s"` // of a service: until it is cancelled
+	Initial  float64 `toml:"initial"`
+	Arrivals struct {
+		Rate float64 `toml:"rate"`
+	} `toml:"arrivals"`
+	Images struct {
+		Count float64 `toml:"count"`
+		GB    spread  `toml:"gb"`
+	} `toml:"images"`
+	Error    float64 `toml:"estimate_error"`
+	Deadline struct {
+		Factor float64 `toml:"factor"`
+		Plus   float64 `toml:"plus_s"`
+	} `toml:"deadline"`
+}
+
+// target is an aim. Best is what is missed at best, as the site file has it.
+type target struct {
+	Kind   string  `toml:"kind"`
+	Class  string  `toml:"class"`
+	Within float64 `toml:"within_s"`
+	After  float64 `toml:"after_s"`
+	Worst  float64 `toml:"worst_s"`
+	Times  float64 `toml:"times"`
+	Share  float64 `toml:"share"`
+	Most   float64 `toml:"most"`
+	Best   float64 `toml:"best"`
 }
 
 type day struct {
@@ -89,10 +142,17 @@
 	}
 }
 
-// demand is the mean number of cores that run a class's tasks, fetches left out.
+// demand is the mean number of cores that run a class's tasks, fetches left out: of
+// arrays as if the day never ended, of services, which live on, over the day.
 func (s *site) demand() (total float64, byClass map[string]float64) {
 	byClass = map[string]float64{}
-	for _, j := range s.Jobs {
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		if j.service() {
+			byClass[j.Name] = s.meanAlive(j) * j.CPUs
+			total += byClass[j.Name]
+			continue
+		}
 		d := j.Arrivals.Rate * j.Tasks.mean() * j.Run.mean() * j.CPUs
 		byClass[j.Name] = d
 		total += d
@@ -179,7 +239,11 @@
 		}
 		fmt.Fprintln(w)
 	}
-	fmt.Fprintf(w, "  price at least %.2f; useful at most %.2f\n", s.priceBound(), s.usefulBound())
+	if s.hasNews() {
+		reportAims(w, s)
+	} else {
+		fmt.Fprintf(w, "  price at least %.2f; useful at most %.2f\n", s.priceBound(), s.usefulBound())
+	}
 	for _, d := range s.Days {
 		fmt.Fprintf(w, "  %s: submissions accepted in time at most %.3f\n", d.Name, s.submitBound(d))
 	}
