Room within a team's limit is not left to others' work for ever

After 45 s a slice now takes room once and leaves it again. The story fails without it: the small job starts after 170 s at the earliest, when it counts as overdue.

--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -537,6 +537,7 @@
 	if h.tasks[t.id] != nil {
 		return // an earlier attempt is still on its way off this host
 	}
+	s.leavesAt = 0
 	s.waiting.remove(i)
 	s.tasks[i] = t
 	c.occupy(p, t)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -55,6 +55,7 @@
 func (c *Core) roomFor(s *slice, n int) int {
 	j := s.job
 	if n == 0 || j.spec.Need.Cores <= 0 {
+		s.leavesAt = 0
 		return n
 	}
 	left, mine := 0.0, c.rankOf(s)
@@ -63,7 +64,27 @@
 			left += a.Cores
 		}
 	}
-	return max(n-int(math.Ceil(left/j.spec.Need.Cores)), 0)
+	if rest := n - int(math.Ceil(left/j.spec.Need.Cores)); rest > 0 {
+		s.leavesAt = 0
+		return rest
+	}
+	return c.leftLong(s, n)
+}
+
+// leaveFor is how long all room of a slice is left to others' work. Then it takes room once:
+// what they asked for may never fit into it, as tasks of 3 cores do not into 2, and no job
+// may wait for ever beside room.
+const leaveFor = 45 * time.Second
+
+// leftLong is how many tasks of a slice may start although all its room is left to others.
+func (c *Core) leftLong(s *slice, n int) int {
+	if s.leavesAt == 0 {
+		s.leavesAt = c.now
+	}
+	if c.now < s.leavesAt+leaveFor {
+		return 0
+	}
+	return n
 }
 
 type cap struct {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -25,6 +25,8 @@
 	making  []time.Duration // room being made for its tasks, each until when at most
 	// Since when some of its tasks have not been running, for operators; 0: all run.
 	missingAt time.Duration
+	// Since when all its room within the team's limit has been left to others' work.
+	leavesAt time.Duration
 }
 
 type outcome struct {
--- /dev/null
+++ b/internal/fake/left_test.go
@@ -0,0 +1,33 @@
+package fake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+func TestRoomThatUrgentWorkCannotUseIsNotLeftToItForEver(t *testing.T) {
+	cfg := Settings()
+	cfg.Teams[1] = core.Team{Name: "blue", Guarantee: core.Amount{Cores: 4}, Limit: core.Amount{Cores: 8}}
+	w := New(71, cfg)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	w.Run(3 * time.Second)
+	bound := func(id, zone string, tasks, priority int, cores float64) *Job {
+		s := spec(id, "blue", tasks, cores)
+		s.Zone, s.Priority = zone, priority
+		return w.Submit(s, 4*time.Minute)
+	}
+	bound("job-1", "c", 1, 1, 3)
+	require.True(t, w.Until(40*time.Second, started(w, "job-1", 1)))
+	large := bound("job-2", "b", 2, 1, 3) // both at a time would pass the team's limit
+	require.True(t, w.Until(40*time.Second, started(w, "job-2", 1)))
+	small := bound("job-3", "a", 1, 2, 0.5)
+	assert.True(t, w.Until(90*time.Second, started(w, "job-3", 1)), "it takes what the other can't use")
+	assert.False(t, started(w, "job-2", 2)() || large.Over(), "while the urgent one still waits for more")
+	ends(t, w, small, 10*time.Minute)
+	ends(t, w, large, 15*time.Minute)
+}
