A filler of which nothing runs starts a little after a minute beside free room

Room that others are likely to want again is kept free of fillers; on a part of few machines that was all of it, so a filler waited 170 s for its first task and, once it had begun, 400 s beside a machine with room. A filler that has waited a minute with nothing on a machine now starts up to four tasks, as an overdue one does.

--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -118,7 +118,16 @@
 // keeps says whether a filler leaves alone what is kept for others. One that has been
 // there for very long does not any more; it still comes after all others.
 func (c *Core) keeps(s *slice) bool {
-	return c.filler(s.job) && !c.overdue(s) && c.now <= s.job.since+endBy
+	return c.filler(s.job) && !c.overdue(s) && !c.leftOut(s) && c.now <= s.job.since+endBy
+}
+
+// fillerWaits is how long all of a filler may wait beside room that is kept for others.
+const fillerWaits = time.Minute
+
+// leftOut says whether nothing of a filler has run for so long that some of it starts
+// whatever is kept for others.
+func (c *Core) leftOut(s *slice) bool {
+	return len(s.tasks) == 0 && s.shortAt > 0 && c.now > s.shortAt+fillerWaits
 }
 
 // yielding lists the machines with tasks that would give way.
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -436,7 +436,7 @@
 			}
 			fit, most := p.keep.fillable(j, all, left)
 			all, devices, n = fit, devicesOf(fit), min(n, most)
-		} else if c.filler(j) && c.overdue(s) {
+		} else if c.filler(j) && (c.overdue(s) || c.leftOut(s)) {
 			n = min(n, beginWith)
 		}
 		visit := func(pl plan.Placement) bool {
--- a/internal/fake/left_test.go
+++ b/internal/fake/left_test.go
@@ -31,3 +31,20 @@
 	ends(t, w, small, 10*time.Minute)
 	ends(t, w, large, 15*time.Minute)
 }
+
+func TestAFillerBesideRoomThatIsKeptForOthersStartsSoon(t *testing.T) {
+	w := oneController(t, 72, func(c *core.Config) { *c = guests(*c) })
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 0
+	}
+	w.Cloud.Room[roomKey("large", "a", false)] = 1
+	busy := w.Submit(spec("job-1", "red", 3, 4), 10*time.Minute)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 3)))
+	s := spec("job-2", "guest", 1, 4)
+	s.Class, s.Priority = "visit", 3
+	filler := w.Submit(s, 5*time.Second)
+	w.Run(20 * time.Second)
+	require.Zero(t, filler.Starts, "what is left of the machine is kept for others")
+	ends(t, w, filler, 90*time.Second)
+	assert.False(t, busy.Over())
+}
