--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -17,6 +17,7 @@
 	Finished  map[int]bool
 	Saved     map[int]time.Duration // progress by task
 	Accepted  bool
+	Refused   bool // it can never run, the user was told
 	Told      core.Standing
 	Cancelled time.Duration // when the user was told, 0: not
 	AskedStop bool
@@ -24,6 +25,8 @@
 	Began     time.Duration // when its first task started, 0: not yet
 	Answered  time.Duration // when a question about it was last answered
 	ToldDone  time.Duration
+	Stuck     time.Duration // since when it waits although it need not, 0: it does not
+	Short     time.Duration // since when a service lacks replicas, 0: it does not
 }
 
 func (j *Job) save(i int, progress time.Duration) { j.Saved[i] = max(j.Saved[i], progress) }
@@ -34,6 +37,11 @@
 	where  map[core.TaskID]map[*Worker]bool
 	Broken []string
 	Starts int
+	// AfterCancel counts the starts after a confirmed cancellation. Those within
+	// cancel_s break no rule while there are troubles, but the page counts them.
+	AfterCancel int
+
+	lookAt time.Duration // when to look for work left waiting
 }
 
 func newReferee(w *World) *Referee {
@@ -56,6 +64,7 @@
 	r.Starts++
 	job := r.w.Jobs[id.Job]
 	job.Starts++
+	job.Stuck = 0
 	if job.Began == 0 {
 		job.Began = r.w.Now
 	}
@@ -70,20 +79,21 @@
 	if job.Cancelled > 0 && r.w.Now > job.Cancelled+r.w.Cfg.Cancel {
 		r.broken("ran_cancelled", "%v starts on %s", id, k.name)
 	}
-	used := 0.0
+	r.cancelled(job, id, k)
+	var used core.Amount
 	for t, ks := range r.where {
 		if j := r.w.Jobs[t.Job]; j.Spec.Team == job.Spec.Team {
-			used += float64(len(ks)) * j.Spec.Need.Cores
+			for range ks {
+				used = plus(used, j.Spec.Need)
+			}
 		}
 	}
-	for _, t := range r.w.Cfg.Teams {
-		if t.Name == job.Spec.Team && t.Limit.Cores > 0 && used > t.Limit.Cores+1e-6 {
-			r.broken("quota", "%s uses %g cores with %v on %s", t.Name, used, id, k.name)
-			for x, ks := range r.where {
-				for o := range ks {
-					if j := r.w.Jobs[x.Job]; j.Spec.Team == t.Name {
-						r.w.Log("in use: %v on %s in %s: %g", x, o.name, o.zone, j.Spec.Need.Cores)
-					}
+	if !r.w.allows(job.Spec.Team, used) {
+		r.broken("quota", "%s uses %v with %v on %s", job.Spec.Team, used, id, k.name)
+		for x, ks := range r.where {
+			for o := range ks {
+				if j := r.w.Jobs[x.Job]; j.Spec.Team == job.Spec.Team {
+					r.w.Log("in use: %v on %s in %s: %v", x, o.name, o.zone, j.Spec.Need)
 				}
 			}
 		}
@@ -93,14 +103,7 @@
 // place checks type, zone and kind against the job and its other tasks.
 func (r *Referee) place(job *Job, id core.TaskID, k *Worker) {
 	s := &job.Spec
-	wrong := s.Zone != "" && k.zone != s.Zone || k.spot && !s.Spot
-	if len(s.Types) > 0 {
-		found := false
-		for _, t := range s.Types {
-			found = found || t == k.typ
-		}
-		wrong = wrong || !found
-	}
+	wrong := !k.allowed(s)
 	same := 0
 	for t, ks := range r.where {
 		if t.Job != id.Job {
@@ -189,6 +192,7 @@
 }
 
 func (r *Referee) overdue() {
+	r.leftWaiting()
 	for _, id := range sortedJobs(r.w.Jobs) {
 		job := r.w.Jobs[id]
 		if job.Accepted && !job.Over() && r.w.Now > max(r.w.Calm, job.Answered)+forgetAfter {
@@ -268,6 +272,9 @@
 	}, func(v any) {
 		rep, _ := v.(core.Reply)
 		w.Referee.told(id, rep.Status, rep.Run.Standing, before)
+		if job := w.Jobs[id]; job != nil && job.Told == core.Withdrawn && before.told != core.Withdrawn {
+			w.moment(Moment{Withdraw, After, n, nil, job})
+		}
 		then(rep.Status)
 	})
 }
@@ -275,20 +282,29 @@
 // Submit has a user submit a job, again and again until it is taken, and poll
 // it until it is over.
 func (w *World) Submit(spec core.Spec, run time.Duration) *Job {
-	job := &Job{Spec: spec, Run: run, Finished: map[int]bool{}, Saved: map[int]time.Duration{}, Came: w.Now}
+	job := &Job{Spec: spec, Run: run}
+	w.submit(job)
+	return job
+}
+
+func (w *World) submit(job *Job) {
+	spec := job.Spec
+	job.Finished, job.Saved, job.Came = map[int]bool{}, map[int]time.Duration{}, w.Now
 	w.Jobs[spec.ID] = job
 	var try func()
 	try = func() {
 		w.user(w.anyNode(), spec.ID, func(req uint64) any { return core.Submit{Req: req, Spec: spec} }, func(status int) {
-			if status == 200 || status == 201 {
+			switch status {
+			case 200, 201:
 				w.poll(job)
-			} else if status != 400 && status != 422 {
+			case 400, 422:
+				job.Refused = true
+			default:
 				w.After(time.Second, try)
 			}
 		})
 	}
 	try()
-	return job
 }
 
 func (w *World) anyNode() *Node {
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -35,6 +36,7 @@
 	Lose func(node string, t core.Txn) (lost bool, late time.Duration)
 	// Carried are told of each transaction that was carried out or refused.
 	Carried []func(node string, t core.Txn, res core.CommitResult)
+	late    lateWrites
 }
 
 type row struct {
@@ -92,10 +94,14 @@
 	if s.w.Now < s.down {
 		return
 	}
+	var over []uint64
 	for id, l := range s.leases {
-		if s.w.Now <= l.ends {
-			continue
+		if s.w.Now > l.ends {
+			over = append(over, id)
 		}
+	}
+	slices.Sort(over)
+	for _, id := range over {
 		delete(s.leases, id)
 		var keys []string
 		for k, r := range s.rows {
@@ -139,8 +145,9 @@
 			continue
 		}
 		var news []core.Item
-		for _, h := range s.history {
-			if h.Stamp > x.op.After && strings.HasPrefix(h.Key, x.op.Prefix) {
+		from := sort.Search(len(s.history), func(i int) bool { return s.history[i].Stamp > x.op.After })
+		for _, h := range s.history[from:] {
+			if strings.HasPrefix(h.Key, x.op.Prefix) {
 				news = append(news, h)
 			}
 		}
@@ -158,15 +165,13 @@
 		answer(core.CommitResult{Outcome: core.NotSent})
 		return
 	}
-	if s.Lose != nil {
-		if lost, late := s.Lose(node, t); lost {
-			s.w.After(late, func() {
-				if !s.away(node) {
-					s.carry(node, t)
-				}
-			})
-			return
-		}
+	if lost, late := s.loses(node, t); lost {
+		s.w.After(late, func() {
+			if !s.away(node) {
+				s.carry(node, t)
+			}
+		})
+		return
 	}
 	answer(s.carry(node, t))
 }
@@ -179,6 +184,16 @@
 	return res
 }
 
+// loses says whether the reply to a transaction is lost, and how late it is applied.
+func (s *Store) loses(node string, t core.Txn) (bool, time.Duration) {
+	if s.Lose != nil {
+		if lost, late := s.Lose(node, t); lost {
+			return true, late
+		}
+	}
+	return s.late.strikes(s.w)
+}
+
 func (s *Store) apply(t core.Txn) core.CommitResult {
 	if len(t.Apply) > s.w.Cfg.TxnOps || len(t.Guards) > 4*s.w.Cfg.TxnOps {
 		panic(fmt.Sprintf("transaction over the limit: %d changes, %d guards", len(t.Apply), len(t.Guards)))
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -31,8 +31,8 @@
 	nextAt              time.Duration
 	dirty               bool
 
-	tasks  map[core.TaskID]*running
-	images map[string]bool
+	tasks map[core.TaskID]*running
+	disk  disk
 }
 
 type running struct {
@@ -47,7 +47,7 @@
 
 func newWorker(w *World, name, typ, zone string, spot bool) *Worker {
 	return &Worker{w: w, name: name, typ: typ, zone: zone, spot: spot, born: w.Now, session: 1, Slow: 1,
-		tasks: map[core.TaskID]*running{}, images: map[string]bool{}}
+		tasks: map[core.TaskID]*running{}}
 }
 
 func (k *Worker) boot() {
@@ -82,7 +82,10 @@
 }
 
 // Hang stops the machine for a while.
-func (k *Worker) Hang(d time.Duration) { k.hangUntil = k.w.Now + d }
+func (k *Worker) Hang(d time.Duration) {
+	k.w.trouble(d)
+	k.hangUntil = k.w.Now + d
+}
 
 // Recall announces that the cloud takes the machine away.
 func (k *Worker) Recall(notice time.Duration) {
@@ -97,6 +100,8 @@
 		t.epoch++
 	}
 	clear(k.tasks)
+	k.progress()
+	k.nextImage()
 }
 
 // expire ends the session when its lease has run out.
@@ -141,6 +146,8 @@
 	}
 	k.flying, k.dirty, k.lastSent = true, false, k.w.Now
 	rep, sent, session, node := k.report(), k.w.Now, k.session, k.w.Nodes[k.node]
+	k.reports(Before, rep)
+	k.w.keepCopy(k, rep)
 	if k.w.Copies != nil {
 		for _, late := range k.w.Copies(k) {
 			k.w.After(late, func() {
@@ -158,6 +165,7 @@
 		k.w.held(k, rep, func() {
 			node.ask(func(req uint64) any { return core.Beat{Req: req, Report: rep} },
 				func(res any) { k.w.held(k, res, func() { answer(res) }) })
+			k.reports(During, rep)
 		})
 	}, func(res any) {
 		k.w.reach(k.name, func(k *Worker) {
@@ -172,6 +180,7 @@
 				k.seen(r.Token)
 				k.leaseFrom = sent
 				k.execute(r.Orders)
+				k.reports(After, rep)
 			case r.Status == 421 && r.Foreman != "":
 				for i, n := range k.w.Nodes {
 					if n.Name == r.Foreman && i != k.node {
@@ -217,10 +226,25 @@
 		switch {
 		case o.Verb == core.Launch && !same:
 			k.launch(o, t)
+			k.w.orders(During, nil, k, []core.Order{o})
 		case o.Verb == core.Halt && same && t.state != core.Ended:
 			k.halt(t, o.Leeway)
 		case o.Verb == core.Clear && same && t.state == core.Ended:
 			delete(k.tasks, o.Task)
+			k.w.orders(During, nil, k, []core.Order{o})
+			k.w.After(soon, func() { k.w.orders(After, nil, k, []core.Order{o}) })
+		}
+	}
+}
+
+// reports tells of a report with tasks, and once it has arrived of the ends in it.
+func (k *Worker) reports(phase Phase, rep core.Report) {
+	if len(rep.Tasks) > 0 {
+		k.w.moment(Moment{Reports, phase, nil, k, nil})
+	}
+	for _, t := range rep.Tasks {
+		if phase == During && t.Cause == core.Done {
+			k.w.moment(Moment{End, After, nil, k, k.w.Jobs[t.Task.Job]})
 		}
 	}
 }
@@ -270,33 +294,19 @@
 		k.end(t, core.NoSuch)
 		return
 	}
-	var used core.Amount
-	for _, x := range k.tasks {
-		if x != t && x.state != core.Ended {
-			need := k.w.Jobs[x.id.Job].Spec.Need
-			used.Cores += need.Cores
-			used.Mem += need.Mem
-		}
-	}
-	for _, m := range k.w.Cloud.Types {
-		if m.Name == k.typ && (used.Cores+job.Spec.Need.Cores > m.Total.Cores+1e-6 || used.Mem+job.Spec.Need.Mem > m.Total.Mem+1e-6) {
-			k.end(t, core.NoRoom)
-			return
-		}
-	}
-	fetch := time.Duration(0)
-	if !k.images[job.Spec.Image] {
-		fetch = time.Duration(job.Spec.ImageGB * 2 * float64(time.Second))
+	if !k.holds(job.Spec.Need, t) {
+		k.end(t, core.NoRoom)
+		return
 	}
 	epoch := t.epoch
-	k.step(t, epoch, fetch, func() {
-		k.images[job.Spec.Image] = true
+	k.fetch(t, func() {
 		if job.Finished[o.Task.Index] {
 			k.end(t, core.Done)
 			return
 		}
 		t.state, t.started, k.dirty = core.Running, k.w.Now, true
 		k.w.Referee.on(o.Task, k)
+		k.w.moment(Moment{Launch, After, nil, k, job})
 		if job.Broken || k.Faulty {
 			k.step(t, epoch, 700*time.Millisecond, func() { k.end(t, core.Failed) })
 			return
@@ -305,9 +315,13 @@
 			return
 		}
 		t.from = job.Saved[o.Task.Index]
-		k.step(t, epoch, time.Duration(float64(job.Run-t.from)*k.Slow), func() {
+		run := time.Duration(float64(job.Run-t.from) * k.Slow)
+		k.step(t, epoch, max(run-soon, 0), func() { k.w.moment(Moment{End, Before, nil, k, job}) })
+		k.step(t, epoch, run, func() {
 			job.Finished[o.Task.Index] = true
 			k.end(t, core.Done)
+			k.w.ended(job)
+			k.w.moment(Moment{End, During, nil, k, job})
 		})
 	})
 }
@@ -335,6 +349,11 @@
 		k.bookmark(t)
 		k.w.Referee.off(t.id, k)
 	}
+	fetching := t.state == core.Fetching
 	t.state, t.cause, k.dirty = core.Ended, cause, true
 	t.epoch++
+	if fetching { // it may have been the last to wait for its image
+		k.progress()
+		k.nextImage()
+	}
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -38,10 +38,14 @@
 	Lag time.Duration
 	// Calm is when the last trouble is over; the referee asks more from then on.
 	Calm time.Duration
+	// OnMoment, if set, hears of every moment of the protocols' steps.
+	OnMoment func(Moment)
 
-	queue eventQueue
-	seq   int
-	cuts  map[[2]string]*cut
+	copies     copies
+	cancelEnds time.Duration // until then users call jobs off as they end
+	queue      eventQueue
+	seq        int
+	cuts       map[[2]string]*cut
 }
 
 type event struct {
@@ -97,6 +101,7 @@
 		cuts: map[[2]string]*cut{}, Cfg: cfg, Log: func(string, ...any) {}}
 	w.Referee = newReferee(w)
 	w.Store = newStore(w)
+	w.OnClaim(w.claimed)
 	w.Cloud = newCloud(w)
 	for i, z := range controllers {
 		n := &Node{w: w, Name: fmt.Sprintf("node-%d", i), zone: z}
@@ -298,7 +303,7 @@
 }
 
 func (n *Node) settle() {
-	if n.w.Now >= n.frozen {
+	if n.up && n.w.Now >= n.frozen {
 		n.carryOut(n.Core.Settle(n.w.Now))
 	}
 }
@@ -318,14 +323,20 @@
 }
 
 func (n *Node) carryOut(effects []any) {
+	life := n.life
 	for _, e := range append([]any(nil), effects...) {
+		if !n.up || n.life != life {
+			return // it ended while it was sending
+		}
 		switch e := e.(type) {
 		case core.Call:
 			n.call(e)
 		case core.Reply:
 			n.answer(e.Req, e)
 		case core.BeatReply:
-			n.answer(e.Req, e)
+			if n.w.orders(Before, n, nil, e.Orders); n.up {
+				n.answer(e.Req, e)
+			}
 		case core.Tell:
 			n.tell(e)
 		case core.Share:
@@ -375,13 +386,32 @@
 // call carries out a core's call to the outside.
 func (n *Node) call(c core.Call) {
 	life := n.life
+	w := n.w
+	steps, job := w.stepsOf(c.Op)
+	tell := func(phase Phase) {
+		for _, s := range steps {
+			w.moment(Moment{s, phase, n, nil, job})
+		}
+	}
 	done := func(res any) {
 		if n.up && n.life == life {
 			n.handle(core.Answer{ID: c.ID, Result: res})
+			tell(After)
+		}
+	}
+	if tell(Before); !n.up {
+		return
+	}
+	// carriedOut wraps an answer to a call that is carried out.
+	carriedOut := func(a func(any)) func(any) {
+		return func(res any) {
+			if outcomeOf(res) == core.OK {
+				tell(During)
+			}
+			a(res)
 		}
 	}
 	const wait = 2 * time.Second
-	w := n.w
 	if w.Again != nil {
 		if late := w.Again(n.Name, c.Op); late > 0 {
 			w.After(late, func() { n.repeat(c.Op, life) })
@@ -393,7 +423,7 @@
 	switch op := c.Op.(type) {
 	case core.CommitOp:
 		store(wait, core.CommitResult{}, func(a func(any)) {
-			w.After(w.Store.Slow, func() { w.Store.commit(n.Name, op.Txn, a) })
+			w.After(w.Store.Slow, func() { w.Store.commit(n.Name, op.Txn, carriedOut(a)) })
 		})
 	case core.ReadOp:
 		store(wait, core.ReadResult{}, func(a func(any)) { w.Store.read(n.Name, op.Key, a) })
@@ -410,10 +440,13 @@
 	case core.HostsOp:
 		w.rpc(n.Name, "cloud", 4*time.Second, core.HostsResult{}, w.Cloud.list, done)
 	case core.HireOp:
-		w.rpc(n.Name, "cloud", 4*time.Second, core.HireResult{}, func(a func(any)) { w.Cloud.hire(op, a) }, done)
+		w.rpc(n.Name, "cloud", 4*time.Second, core.HireResult{}, func(a func(any)) { w.Cloud.hire(op, carriedOut(a)) }, done)
 	case core.ReturnOp:
-		w.rpc(n.Name, "cloud", 4*time.Second, core.ReturnResult{}, func(a func(any)) { w.Cloud.giveBack(op.Hosts, a) }, done)
+		w.rpc(n.Name, "cloud", 4*time.Second, core.ReturnResult{}, func(a func(any)) { w.Cloud.giveBack(op.Hosts, carriedOut(a)) }, done)
 	case core.OrdersOp:
+		if w.orders(Before, n, w.Workers[hostOf(op.Addr)], op.Orders); !n.up {
+			return
+		}
 		if x := w.cuts[[2]string{n.Name, hostOf(op.Addr)}]; x != nil && w.Now < x.until && !x.hold {
 			// No connection comes about, so nothing can arrive later either.
 			w.After(1500*time.Millisecond, func() { done(core.WorkerResult{Outcome: core.NotSent}) })
@@ -451,6 +484,19 @@
 	n.nextCall += time.Duration(float64(time.Second) / (0.93 * w.Store.RPS * max(n.share.Requests, 0.01)))
 }
 
+// outcomeOf is the outcome of a call that a moment is told of.
+func outcomeOf(res any) core.Outcome {
+	switch res := res.(type) {
+	case core.CommitResult:
+		return res.Outcome
+	case core.HireResult:
+		return res.Outcome
+	case core.ReturnResult:
+		return res.Outcome
+	}
+	return core.Unknown
+}
+
 // notSent is the result of a call that was not made, of the same type as the
 // one given.
 func notSent(res any) any {
