A part whose machines all boot is not dark

Cause: a part away from its owner's zone counted as dark when none of its machines was heard for three reports and it had three, booting ones too.

Change: only machines that are up, or overdue by a report, are missed.

--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -546,7 +546,19 @@
 	if mine, _ := c.homeOf(p); mine || !p.mine {
 		return false
 	}
-	return c.now > p.heardAt+max(c.cfg.Report*3, 10*time.Second) && (len(p.hosts) >= 3 || p.wasDark)
+	return c.now > p.heardAt+max(c.cfg.Report*3, 10*time.Second) && (c.shouldReport(p) >= 3 || p.wasDark)
+}
+
+// shouldReport counts the part's machines that would be heard here if it were not
+// dark: those that boot say nothing, however long that takes on their type.
+func (c *Core) shouldReport(p *part) int {
+	n := 0
+	for _, h := range p.hosts {
+		if h.state == up || h.state == booting && c.now > h.eta+c.cfg.Report {
+			n++
+		}
+	}
+	return n
 }
 
 // cutOffFor is how long a controller that gave a part up for not hearing its
