A poor estimate of one job gives no machine up

Cause: a machine was far too slow when four of its tasks ran three times as long as estimated.

Change: what a job's tasks took on other machines, once three have ended there, stands where the estimate does; by the estimate each job speaks once per machine.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -23,7 +23,9 @@
 	fitsOf   int
 	holdTo   time.Duration // no launches before, after workers refused it
 	good     bool          // a task of it has ended well
-	failures int           // of its tasks, since it became known here
+	ranAll   runTimes      // of its tasks that ended well, and by machine
+	ranOn    map[string]runTimes
+	failures int // of its tasks, since it became known here
 	failedOn []failedOn
 	doubt    int           // trials that failed since it came into doubt, 0: not in doubt
 	doubtAt  time.Duration // when the next trial may start
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -321,7 +321,7 @@
 			c.endedWell(h, j)
 		}
 		if j := t.job(); j != nil && t.started > 0 && !t.inherited {
-			c.judge(p, h, seconds(c.now-t.started)/c.estimate(j))
+			c.judge(p, h, j, seconds(c.now-t.started))
 			c.ran(j, seconds(c.now-t.started))
 		}
 		c.settle(p, t, true)
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -1,13 +1,43 @@
 package core
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // farTooSlow is how many times as long as expected a machine's tasks may run.
 // Single estimates are often wrong by half and more, so several are looked at.
 const farTooSlow = 3.0
 
-// judge gives a machine up whose tasks all run far longer than expected.
-func (c *Core) judge(p *part, h *host, ratio float64) {
+// siblings is how many of a job's tasks must have ended on other machines for what
+// they took to stand where its owner's estimate does.
+const siblings = 3
+
+// runTimes sums up how long tasks ran, as logarithms.
+type runTimes struct {
+	sum float64
+	n   int
+}
+
+// judge gives a machine up whose tasks all run far longer than expected. What a job's
+// tasks took on other machines tells that best. The owner's estimate is wrong for all
+// tasks of a job alike, so by that each job speaks once: machines full of one job's
+// tasks had been given up, and all on them lost, for a poor estimate.
+func (c *Core) judge(p *part, h *host, j *job, ran float64) {
+	here, all := j.ranOn[h.name], j.ranAll
+	log := math.Log(max(ran, 0.01))
+	if j.ranOn == nil {
+		j.ranOn = map[string]runTimes{}
+	}
+	j.ranOn[h.name] = runTimes{here.sum + log, here.n + 1}
+	j.ranAll = runTimes{all.sum + log, all.n + 1}
+	expected := c.estimate(j)
+	if others := all.n - here.n; others >= siblings {
+		expected = math.Exp((all.sum - here.sum) / float64(others))
+	} else if here.n > 0 {
+		return
+	}
+	ratio := ran / expected
 	// On some days all estimates are too low; that is no machine's fault.
 	p.unjudge(h)
 	usual, n := p.slowSum, float64(p.slowN)
