Machines for all waiting jobs are asked for in one request per kind

Cause: each job's machines were a rental request of their own, and one per kind is under way at a time. With 4 cloud calls a second for three owners that is a machine or a few a second: 145 machines asked for after 20 s, when work for 490 waited.

Change: what one look at the fleet wants of a kind goes into one request, of up to 50; it is sent when the look is over.

--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -31,7 +31,7 @@
 	if len(c.types) == 0 || p.yielding || !c.sure() {
 		return
 	}
-	c.pushHires(p)
+	defer c.pushHires(p)
 	for _, h := range p.hosts {
 		c.meter(h)
 	}
@@ -312,8 +312,7 @@
 			}
 		}
 		want := short / float64(k)
-		count := min(int(math.Ceil(want-0.01)), 50)
-		if c.hire(p, o, count) {
+		if count := c.hire(p, o, int(math.Ceil(want-0.01))); count > 0 {
 			coming[kind] += max(float64(count)-want, 0)
 		}
 		return
@@ -402,22 +401,38 @@
 	}
 }
 
-func (c *Core) hire(p *part, o Offer, count int) bool {
-	if len(p.hiring) >= 4 || count <= 0 {
-		return false
+// mostHired is how many machines the cloud rents out at a time.
+const mostHired = 50
+
+// hire rents up to count machines of a kind and returns how many are asked for. What
+// is wanted for one job after the other goes into one request per kind, of which one
+// is under way at a time: with a request for each job, and few calls a second, a crowd
+// of jobs waited half a minute for the last of its machines to be asked for.
+func (c *Core) hire(p *part, o Offer, count int) int {
+	if count <= 0 {
+		return 0
 	}
 	for _, r := range p.hiring {
-		if r.op.Type == o.Type && r.op.Spot == o.Spot {
-			return false // one request per kind at a time
+		if r.op.Type != o.Type || r.op.Spot != o.Spot {
+			continue
 		}
+		if r.tries > 0 {
+			return 0
+		}
+		more := min(count, mostHired-r.op.Number)
+		r.op.Number += more
+		return more
+	}
+	if len(p.hiring) >= 4 {
+		return 0
 	}
+	count = min(count, mostHired)
 	p.hireSeq++
 	// The token makes the name this ownership's own, the counter this request's.
 	name := fmt.Sprintf("r-%s-%d-%d", p.name, p.token, p.hireSeq)
 	p.hiring = append(p.hiring, &hire{typ: c.typeIdx.known(o.Type), asked: c.now,
 		op: HireOp{Name: name, Type: o.Type, Zone: p.name, Spot: o.Spot, Number: count}})
-	c.pushHires(p)
-	return true
+	return count
 }
 
 func (c *Core) pushHires(p *part) {
