New work spreads over the parts that can hire

Cause: two reckonings drew all work to one part. A machine yet to be hired for a job was compared with the whole queue of its part before it, though it is hired for that job.

Change: only a tenth of the queue counts against machines yet to be hired, where they can be; replicas are room taken, not work that passes through.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -274,21 +274,31 @@
 // backlog is how long the part's waiting work will keep its machines busy, by
 // priority and by type of the pool it waits for. Without it a part with a long
 // queue would look as good to those who deal as one whose machines are just as
-// busy but whose queue is empty.
+// busy but whose queue is empty. Services do not pass through the machines: they take
+// from what there is. Counted as an hour's work each, the part with the most machines
+// for other work had the shortest queue, and all work went there.
 func (c *Core) backlog(p *part) []Backlog {
 	pools := c.pools()
 	work := make([][priorities]float64, len(pools))
+	served := make([]float64, len(pools))
 	for _, s := range p.slices {
-		if s.job.standing == Pending && len(s.waiting) > 0 {
-			if typ := c.usualType(s.job); typ >= 0 {
-				work[poolOf(pools, typ)][min(s.job.spec.Priority, priorities-1)] +=
-					float64(c.startable(s)) * s.job.spec.Need.Cores * c.estimate(s.job)
-			}
+		if s.job.standing != Pending {
+			continue
+		}
+		typ := c.usualType(s.job)
+		if typ < 0 {
+			continue
+		}
+		i := poolOf(pools, typ)
+		if s.job.spec.Service {
+			served[i] += float64(len(s.tasks)+c.startable(s)) * s.job.spec.Need.Cores
+		} else if len(s.waiting) > 0 {
+			work[i][min(s.job.spec.Priority, priorities-1)] += float64(c.startable(s)) * s.job.spec.Need.Cores * c.estimate(s.job)
 		}
 	}
 	var out []Backlog
 	for i, types := range pools {
-		cores := c.capacity(p, types)
+		cores := c.capacity(p, types) - served[i]
 		for t := range c.types {
 			if types&(1<<t) == 0 {
 				continue
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -607,8 +607,15 @@
 // hired for it.
 const imagined = 12
 
-// market is imagined machines per zone, type and kind: what could be hired.
-func (c *Core) market(p *part) []device {
+// queueOfHired is the share of a part's queue that counts against a machine yet to be
+// hired: of parts that can hire, the one with less to do.
+const queueOfHired = 0.1
+
+// market is imagined machines per zone, type and kind: what could be hired. The queues
+// given, by type, are what all machines of the part are compared by; hardly any of it is
+// before a machine that is hired for this job. With all of it, a part whose machines all
+// boot for work that waits looked better the more of them it had.
+func (c *Core) market(p *part, queues []float64) []device {
 	var out []device
 	for t := range c.types {
 		typ := &c.types[t]
@@ -616,9 +623,9 @@
 			continue
 		}
 		for _, spot := range []bool{true, false} {
-			wait := typ.BootS
+			wait, penalty := typ.BootS, (queueOfHired-1)*queues[t]
 			if c.isScarce(p, Offer{typ.Name, spot}) {
-				wait += 90
+				wait, penalty = wait+90, 0
 			}
 			if !p.mine && (p.view == nil || c.now > p.viewAt+3*time.Second) {
 				wait += 15 // nobody is known to look after that part now
@@ -629,7 +636,7 @@
 			total := typ.Total.plan()
 			for range imagined {
 				out = append(out, device{&plan.Device{Kind: c.kind(p.zone, t, spot), Total: total,
-					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1}, p.zone, nil})
+					Up: seconds(c.now) + wait, SPerGB: c.fetchRate(t), Slow: 1, Penalty: penalty}, p.zone, nil})
 			}
 		}
 	}
@@ -686,7 +693,7 @@
 			continue
 		}
 		byZone[z] = c.partDevices(p)
-		byZone[z] = append(byZone[z][:len(byZone[z]):len(byZone[z])], c.market(p)...)
+		byZone[z] = append(byZone[z][:len(byZone[z]):len(byZone[z])], c.market(p, queues[z*len(c.types):])...)
 	}
 	counts := make([]int, len(c.parts))
 	now := seconds(c.now)
