Waiting work goes to cheap machines that are yet to boot, not to dear ones

Cause: work for which only dear machines are left here is handed to a part that can hire cheap ones, if its queue is over when such a machine is up. Where all machines boot every queue is longer than that, so 300 cheap machines of one zone stood unused while the others rented dear ones. The room for past peaks was hired dear as well, also for peaks that had moved away, and a part that had not hired yet seemed to have an endless queue.

Change: a queue no longer than the own one will do; a part that can hire counts as having a few machines; no dear machines for room that cheap ones elsewhere give; what moves is taken out of the demand remembered.

--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -340,12 +340,13 @@
 
 // spotElsewhere names the part that can hire spot machines of the types given where
 // this one would have to take dear ones: the one with the shortest queue, if that is over
-// when such a machine is up. Parts are not alike in what they can hire, and jobs go
-// where machines are free already, so one was short of machines while others'
-// cheap ones were never rented.
+// when such a machine is up or no longer than the queue here. Parts are not alike in what
+// they can hire, and jobs go where machines are free already, so one was short of
+// machines while others' cheap ones were never rented. A part whose machines all boot has
+// a long queue and is the place to go all the same.
 func (c *Core) spotElsewhere(p *part, types uint64, priority int) *part {
 	var best *part
-	least := 0.0
+	least, here := 0.0, c.queueFor(p, priority)
 	for _, q := range c.parts {
 		if q == p || !c.current(q) || c.darkFor(q) {
 			continue
@@ -354,7 +355,7 @@
 			if types&(1<<t) == 0 || !contains(c.types[t].Zones, q.name) || c.isScarce(q, Offer{c.types[t].Name, true}) {
 				continue
 			}
-			if wait := c.queueFor(q, priority)[t]; wait < c.types[t].BootS && (best == nil || wait < least) {
+			if wait := c.queueFor(q, priority)[t]; wait < max(c.types[t].BootS, here[t]) && (best == nil || wait < least) {
 				best, least = q, wait
 			}
 		}
@@ -386,7 +387,7 @@
 // hireRoom rents for demand foreseen, one kind at a time: spot machines up to
 // what peaks ask for, dear ones only up to the demand that lasts, where there are
 // enough machines to tell and no queue outlasts a boot. A peak is mostly over by
-// the time a machine is up.
+// the time a machine is up. No dear ones for what can go where cheap ones are to be had.
 func (c *Core) hireRoom(p *part, types uint64, peaks, lasting float64) {
 	for _, o := range c.offers(p) {
 		typ := c.typeIdx.known(o.Type)
@@ -394,6 +395,9 @@
 		if !o.Spot && c.queueFor(p, priorities)[typ] < c.types[typ].BootS {
 			cores = lasting
 		}
+		if !o.Spot && c.spotElsewhere(p, types, priorities-1) != nil {
+			return
+		}
 		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
 			c.hire(p, o, min(n, 4))
 			return
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -175,8 +175,24 @@
 		w.txn.Guards = []Guard{{p.key(), p.stamp}, {sliceKey(p.name, j.id), s.stamp}, {j.key(), j.stamp}, {key, res.Item.Stamp}}
 		w.txn.Apply = []Set{{Key: sliceKey(p.name, j.id), Value: mineValue}, {Key: key, Value: theirs}, {Key: j.key(), Value: value}}
 		delete(p.dirty, j.id)
+		c.forgetDemand(p, j, len(ids))
 		c.stats.Moves += uint64(len(ids))
 		c.note(1, "tasks moved", "job", j.id, "tasks", len(ids), "from", p.name, "to", to.name, "token", p.token)
 		c.write(w)
 	})
 }
+
+// forgetDemand takes tasks that leave a part out of what its past demand asks room for:
+// dear machines were hired here for a peak that had gone elsewhere.
+func (c *Core) forgetDemand(p *part, j *job, tasks int) {
+	typ := c.usualType(j)
+	if typ < 0 || c.filler(j) {
+		return
+	}
+	i := poolOf(c.pools(), typ)
+	for _, s := range p.demand {
+		if i < len(s.cores) {
+			s.cores[i] = max(s.cores[i]-float64(tasks)*j.spec.Need.Cores, 0)
+		}
+	}
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -303,9 +303,13 @@
 			if types&(1<<t) == 0 {
 				continue
 			}
+			can := 1.0 // machines that can be hired at once
+			if contains(c.types[t].Zones, p.name) && !c.isScarce(p, Offer{c.types[t].Name, true}) {
+				can = imagined
+			}
 			for prio, w := range work[i] {
 				if w > 0 {
-					out = append(out, Backlog{c.types[t].Name, prio, w / max(cores, c.types[t].Total.Cores)})
+					out = append(out, Backlog{c.types[t].Name, prio, w / max(cores, can*c.types[t].Total.Cores)})
 				}
 			}
 		}
--- /dev/null
+++ b/internal/fake/gpu_test.go
@@ -0,0 +1,153 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// cardDay is a world of machines with eight cards that boot and fetch slowly and report
+// rarely. All controllers are in zone a; each zone has room for so many machines of each
+// kind.
+func cardDay(t *testing.T, seed uint64, boot time.Duration, room int) *World {
+	cfg := Settings()
+	cfg.Teams = []core.Team{{Name: "flow", Guarantee: core.Amount{Cards: 600}, Limit: core.Amount{Cards: 2000}}}
+	cfg.Report, cfg.Lease, cfg.Cancel = 8*time.Second, 38*time.Second, 58*time.Second
+	w := NewWith(seed, cfg, "a", "a", "a")
+	w.Cloud.Types = []core.MachineType{{Name: "cards", Total: core.Amount{Cores: 96, Cards: 8, Mem: 768}, CacheGB: 120,
+		GBPerS: 0.5, Price: 27, SpotPrice: 6.5, BootS: boot.Seconds(), Zones: cfg.Zones}}
+	w.Cloud.BootS = func(string) float64 { return boot.Seconds() }
+	for _, z := range cfg.Zones {
+		w.Cloud.Room[roomKey("cards", z, true)], w.Cloud.Room[roomKey("cards", z, false)] = room, room
+	}
+	if testing.Verbose() {
+		w.Log = t.Logf
+	}
+	w.Run(5 * time.Second)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	return w
+}
+
+// sweep is an array of tasks with a card each.
+func sweep(id string, tasks int, estimate float64) core.Spec {
+	return core.Spec{ID: id, Class: "sweep", Team: "flow", Priority: 2, Tasks: tasks, Need: core.Amount{Cores: 10, Cards: 1, Mem: 72},
+		Spot: true, Image: "img", ImageGB: 1, Estimate: estimate}
+}
+
+// liveService is replicas with a card each that must be apart, on ordinary machines.
+func liveService(id string, tasks int) core.Spec {
+	return core.Spec{ID: id, Class: "live", Team: "flow", Priority: 0, Service: true, Tasks: tasks, Need: core.Amount{Cores: 8, Cards: 1, Mem: 58},
+		Apart: true, Image: "svc", ImageGB: 1}
+}
+
+// machines counts those hired that a test asks for.
+func (w *World) machines(which func(*Worker) bool) int {
+	n := 0
+	for _, k := range w.Workers {
+		if which(k) {
+			n++
+		}
+	}
+	return n
+}
+
+func moves(w *World) (n uint64) {
+	for _, node := range w.Nodes {
+		n += node.Core.Stats().Moves
+	}
+	return n
+}
+
+func accepted(jobs []*Job) func() bool {
+	return func() bool {
+		for _, j := range jobs {
+			if !j.Accepted {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestAPartWhoseMachinesAllBootIsNotDark(t *testing.T) {
+	w := cardDay(t, 901, 60*time.Second, 20)
+	for i := range 9 {
+		w.Submit(sweep(fmt.Sprintf("job-%d", i), 24, 30), 30*time.Second)
+		w.Run(time.Second)
+	}
+	w.Run(40 * time.Second)
+	for _, z := range []string{"b", "c"} {
+		require.GreaterOrEqual(t, w.machines(func(k *Worker) bool { return k.zone == z && !k.started }), 3, "machines boot in zone %s", z)
+	}
+	assert.Zero(t, moves(w), "work waits for the machines that boot for it")
+}
+
+func TestACrowdsMachinesAreAskedForAtOnce(t *testing.T) {
+	w := cardDay(t, 902, 60*time.Second, 40)
+	requests := 0
+	w.Cloud.LateHire = func(core.HireOp) time.Duration {
+		requests++
+		return 0
+	}
+	var jobs []*Job
+	for i := range 30 {
+		jobs = append(jobs, w.Submit(sweep(fmt.Sprintf("job-%d", i), 8, 30), 30*time.Second))
+	}
+	require.True(t, w.Until(10*time.Second, accepted(jobs)))
+	w.Run(3 * time.Second)
+	assert.GreaterOrEqual(t, len(w.Workers), 30, "each job has a machine on its way")
+	assert.Less(t, requests, 20, "not one request per job")
+}
+
+func TestServicesThatWaitAreNoQueue(t *testing.T) {
+	w := cardDay(t, 903, 60*time.Second, 60)
+	var jobs []*Job
+	for i := range 30 {
+		jobs = append(jobs, w.Submit(liveService(fmt.Sprintf("job-s%d", i), 4), 0))
+		jobs = append(jobs, w.Submit(sweep(fmt.Sprintf("job-%d", i), 40, 60), 60*time.Second))
+		w.Run(time.Second)
+	}
+	require.True(t, w.Until(10*time.Second, accepted(jobs)))
+	w.Run(5 * time.Second)
+	spot := func(zone string) int {
+		return w.machines(func(k *Worker) bool { return k.spot && (zone == "" || k.zone == zone) })
+	}
+	require.GreaterOrEqual(t, spot(""), 120, "machines for all sweeps")
+	for _, z := range w.Cfg.Zones {
+		assert.Less(t, spot(z), spot("")*6/10, "machines in zone %s", z)
+	}
+}
+
+func TestWorkGoesToCheapMachinesThatAreYetToBoot(t *testing.T) {
+	w := cardDay(t, 904, 60*time.Second, 80)
+	w.Cloud.Room[roomKey("cards", "a", true)] = 4
+	w.Cloud.Room[roomKey("cards", "b", true)] = 4
+	var jobs []*Job
+	for i := range 24 {
+		jobs = append(jobs, w.Submit(sweep(fmt.Sprintf("job-%d", i), 24, 120), 120*time.Second))
+	}
+	require.True(t, w.Until(10*time.Second, accepted(jobs)))
+	w.Run(45 * time.Second)
+	require.Positive(t, moves(w), "zones without cheap machines give work away")
+	require.GreaterOrEqual(t, w.machines(func(k *Worker) bool { return k.zone == "c" && k.spot }), 40)
+	assert.LessOrEqual(t, w.machines(func(k *Worker) bool { return !k.spot }), 6, "dear machines while cheap ones are to be had")
+}
+
+func TestAPoorEstimateOfOneJobGivesNoMachineUp(t *testing.T) {
+	w := cardDay(t, 905, 8*time.Second, 3)
+	good := w.Submit(sweep("job-1", 24, 10), 10*time.Second)
+	ends(t, w, good, 90*time.Second)
+	poor := w.Submit(sweep("job-2", 6, 2), 20*time.Second)
+	require.True(t, w.Until(20*time.Second, started(w, "job-2", 6)))
+	require.Len(t, w.On("job-2"), 1, "all on one machine")
+	long := w.Submit(sweep("job-3", 24, 60), 60*time.Second)
+	require.True(t, w.Until(20*time.Second, started(w, "job-3", 18)))
+	ends(t, w, poor, 60*time.Second)
+	ends(t, w, long, 150*time.Second)
+	assert.Equal(t, 24, long.Starts, "nothing is lost to a verdict on its machine")
+}
