--- /dev/null
+++ b/internal/fake/cancel_troubles.go
@@ -0,0 +1,38 @@
+package fake
+
+import (
+	"time"
+
+	"roadcleat/internal/core"
+)
+
+// delayed has a request to the state service arrive as late as Late says.
+func (s *Store) delayed(node string, op any, exec func(func(any))) func(func(any)) {
+	if s.Late == nil {
+		return exec
+	}
+	late := s.Late(node, op)
+	if late == 0 {
+		return exec
+	}
+	return func(answer func(any)) { s.w.After(late, func() { exec(answer) }) }
+}
+
+// Heal ends cuts between two hosts; packets held stay held until their time.
+func (w *World) Heal(a, b string) {
+	delete(w.cuts, [2]string{a, b})
+	delete(w.cuts, [2]string{b, a})
+}
+
+// StopAt has the job's user cancel it at one controller, repeated until it is
+// confirmed; told, if any, is called then.
+func (w *World) StopAt(n *Node, job *Job, told func()) {
+	job.AskedStop = true
+	w.user(n, job.Spec.ID, func(req uint64) any { return core.Withdraw{Req: req, ID: job.Spec.ID} }, func(status int) {
+		if status != 200 {
+			w.After(time.Second, func() { w.StopAt(n, job, told) })
+		} else if told != nil {
+			told()
+		}
+	})
+}
--- /dev/null
+++ b/internal/fake/meet_cancel_test.go
@@ -0,0 +1,308 @@
+package fake
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// gap is a day in which the owner of zone a loses the state service alone, another
+// controller confirms a cancellation, and then the state service is out for all.
+type gap struct {
+	*World
+	t            *testing.T
+	owner, other *Node
+	job, kept    *Job // the one to be cancelled, and one beside it
+}
+
+// newGap has both jobs run in zone a, whose owner is the first controller.
+func newGap(t *testing.T, seed uint64, zones ...string) *gap {
+	return newGapWith(t, seed, nil, zones...)
+}
+
+func newGapWith(t *testing.T, seed uint64, change func(*core.Config), zones ...string) *gap {
+	cfg := Settings()
+	cfg.Zones = zones
+	if change != nil {
+		change(&cfg)
+	}
+	w := New(seed, cfg)
+	if testing.Verbose() {
+		w.Log = t.Logf
+	}
+	w.Run(8 * time.Second)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	g := &gap{World: w, t: t, owner: w.Nodes[0], other: w.Nodes[1]}
+	run := func(id string) *Job {
+		s := spec(id, "red", 2, 2)
+		s.Zone, s.Spot = "a", false
+		return w.Submit(s, 10*time.Minute)
+	}
+	g.job, g.kept = run("job-1"), run("job-2")
+	require.True(t, w.Until(time.Minute, func() bool { return started(w, "job-1", 2)() && started(w, "job-2", 2)() }))
+	require.Equal(t, g.owner, leaderOf(w, "a"))
+	w.Run(3 * time.Second) // what the starts left to be done is done
+	return g
+}
+
+// refused has the state service refuse the owner alone from now on.
+func (g *gap) refused() {
+	g.Store.Refuse(g.owner.Name, 14*time.Second)
+	g.Run(300 * time.Millisecond)
+}
+
+// confirmed has the other controller confirm the cancellation; then the state service
+// is out for all, for longer than cancel_s.
+func (g *gap) confirmed(then func()) {
+	told := false
+	g.StopAt(g.other, g.job, func() {
+		told = true
+		g.Store.Outage(g.Cfg.Cancel + 25*time.Second)
+		if then != nil {
+			then()
+		}
+	})
+	require.True(g.t, g.Until(time.Second, func() bool { return told }), "the cancellation is confirmed")
+}
+
+// gone lets the outage pass and says how long after the confirmation the last of
+// the job's tasks was gone.
+func (g *gap) gone() time.Duration {
+	last := g.Now
+	for end := g.Now + g.Cfg.Cancel + 30*time.Second; g.Now < end; g.Run(100 * time.Millisecond) {
+		if len(g.On("job-1")) > 0 {
+			last = g.Now
+		}
+	}
+	return last - g.job.Cancelled
+}
+
+// aloneBound is how long after its last proof of fresh withdrawals an owner answers
+// its workers, and their leases thereafter.
+func (g *gap) aloneBound() time.Duration { return g.Cfg.Cancel - 2*time.Second }
+
+func (g *gap) byWord() {
+	g.t.Helper()
+	assert.Less(g.t, g.gone(), 4*time.Second, "the owner hears of it")
+	assert.NotEmpty(g.t, g.On("job-2"), "and other work goes on")
+}
+
+func (g *gap) byBound() {
+	g.t.Helper()
+	d := g.gone()
+	assert.Greater(g.t, d, g.Cfg.Cancel/2, "nobody told the owner")
+	assert.Less(g.t, d, g.aloneBound(), "its workers' leases have run out in time")
+}
+
+// wordless loses what the other controller says to the owner, for the time given.
+func (g *gap) wordless(d time.Duration) {
+	g.CutOneWay(g.other.Name, g.owner.Name, d)
+}
+
+const longer = 100 * time.Second // than any of these days' outages
+
+func TestGapTheOwnerIsTold(t *testing.T) {
+	g := newGap(t, 101, "a", "b", "c")
+	g.refused()
+	g.confirmed(nil)
+	g.byWord()
+}
+
+func TestGapTheOwnerIsCutFromWhoeverConfirmed(t *testing.T) {
+	g := newGap(t, 102, "a", "b", "c")
+	g.refused()
+	g.Cut(g.owner.Name, g.other.Name, longer, false)
+	g.confirmed(nil)
+	assert.Less(t, g.gone(), 4*time.Second, "a third controller tells it")
+	assert.Empty(t, g.On("job-2"), "and nobody vouches for the one it does not hear")
+}
+
+func TestGapTheOwnerIsCutFromAll(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		g := newGap(t, 103, "a", "b", "c")
+		g.refused()
+		g.Alone(g.owner, longer, hold)
+		g.confirmed(nil)
+		g.byBound()
+	}
+}
+
+func TestGapOnlyGossipTells(t *testing.T) {
+	// The word itself is lost; what is gossiped afterwards repeats it.
+	g := newGap(t, 104, "a", "b")
+	g.refused()
+	g.wordless(2 * time.Second)
+	g.confirmed(nil)
+	assert.NotEmpty(t, g.On("job-1"), "the word was lost")
+	g.byWord()
+}
+
+func TestGapTheConfirmingControllerEnds(t *testing.T) {
+	g := newGap(t, 105, "a", "b")
+	g.refused()
+	g.wordless(time.Second)
+	g.confirmed(func() { g.other.Restart(longer) })
+	g.byBound()
+}
+
+func TestGapTheConfirmingControllerIsBackAtOnce(t *testing.T) {
+	// Its next life hears the owner and answers it, and knows of no cancellation.
+	for _, back := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second} {
+		g := newGap(t, 106, "a", "b")
+		g.refused()
+		g.wordless(time.Second)
+		g.confirmed(func() {
+			g.other.Restart(back)
+			g.Heal(g.other.Name, g.owner.Name)
+		})
+		g.byBound()
+	}
+}
+
+func TestGapTheMachinesHang(t *testing.T) {
+	for _, hang := range []time.Duration{3 * time.Second, 9 * time.Second, 12 * time.Second, 40 * time.Second} {
+		g := newGap(t, 107, "a", "b", "c")
+		g.refused()
+		for k := range g.On("job-1") {
+			k.Hang(hang)
+		}
+		g.confirmed(nil)
+		assert.Less(t, g.gone(), min(hang, g.Cfg.Lease)+5*time.Second, "at the end of its lease at the latest")
+	}
+}
+
+func TestGapTheMachinesHangAndNobodyTellsTheOwner(t *testing.T) {
+	g := newGap(t, 108, "a", "b")
+	g.refused()
+	g.wordless(longer)
+	for k := range g.On("job-1") {
+		k.Hang(9 * time.Second)
+	}
+	g.confirmed(nil)
+	g.byBound()
+}
+
+func TestGapConfirmedInTheLastMoments(t *testing.T) {
+	// The owner trusts what others vouch for: right after their last word, when it is
+	// about to give up, and between; the state service is back just for the moment.
+	for _, after := range []time.Duration{0, 2 * time.Second, 12 * time.Second, 25 * time.Second} {
+		g := newGap(t, 109, "a", "b")
+		g.refused()
+		g.Store.Refuse(g.owner.Name, longer)
+		g.wordless(longer)
+		from := g.Now
+		if after > 0 {
+			g.Store.Outage(after)
+			g.Run(after + 100*time.Millisecond)
+		}
+		require.NotEmpty(t, g.On("job-1"))
+		g.confirmed(nil)
+		d := g.gone()
+		assert.Less(t, d, g.aloneBound()-(g.job.Cancelled-from))
+		assert.Greater(t, d+g.job.Cancelled-from, g.Cfg.Cancel-8*time.Second, "no machine is given up early")
+	}
+}
+
+func TestGapHeldGossipSpeaksOnlyForItsOwnTime(t *testing.T) {
+	// The other controller ends right after it has confirmed; what it had gossiped
+	// before is held up and arrives while the owner still trusts it.
+	g := newGap(t, 110, "a", "b")
+	g.refused()
+	g.Cut(g.other.Name, g.owner.Name, 26*time.Second, true)
+	g.Run(1200 * time.Millisecond)
+	g.wordless(longer) // the word itself is lost
+	g.confirmed(func() { g.other.Restart(longer) })
+	g.byBound()
+}
+
+// isPlacement says whether a transaction places tasks of the job.
+func isPlacement(txn core.Txn, id string) bool {
+	for _, s := range txn.Apply {
+		if strings.HasPrefix(s.Key, "slice/") && strings.HasSuffix(s.Key, "/"+id) && strings.Contains(string(s.Value), `"p":[{`) {
+			return true
+		}
+	}
+	return false
+}
+
+// next submits a job to zone a whose machines are up already.
+func (g *gap) next(id string) *Job {
+	s := spec(id, "red", 1, 1)
+	s.Zone, s.Spot = "a", false
+	return g.Submit(s, 10*time.Minute)
+}
+
+// unsure has the answer to the placement of a job lost, and the job cancelled while
+// the owner waits for it and hears of nothing; then the state service is out for all.
+// When the owner reads what holds, it learns of the placement before it learns of
+// the cancellation.
+func (g *gap) unsure(outage, wordless time.Duration, told func()) *Job {
+	lost := false
+	g.Store.Lose = func(_ string, txn core.Txn) (bool, time.Duration) {
+		hit := !lost && isPlacement(txn, "job-3")
+		lost = lost || hit
+		return hit, 0
+	}
+	g.Store.Late = func(node string, op any) time.Duration {
+		read, isRead := op.(core.ReadOp)
+		_, isFollow := op.(core.FollowOp)
+		if node == g.owner.Name && lost && (isFollow || isRead && read.Key == "job/job-3") {
+			return 1500 * time.Millisecond
+		}
+		return 0
+	}
+	job := g.next("job-3")
+	require.True(g.t, g.Until(10*time.Second, func() bool { return lost }), "the placement's answer is lost")
+	g.wordless(wordless)
+	g.StopAt(g.other, job, func() {
+		g.Store.Outage(outage)
+		if told != nil {
+			told()
+		}
+	})
+	require.True(g.t, g.Until(time.Second, job.Over), "cancelled while the owner waits for that answer")
+	require.Contains(g.t, string(g.Store.rows["slice/a/job-3"].value), `"p":[{`, "placed all the same")
+	return job
+}
+
+func TestNothingStartsBeforeCancellationsAreKnownAgain(t *testing.T) {
+	g := newGap(t, 111, "a", "b")
+	g.unsure(18*time.Second, 20*time.Second, nil)
+	g.Run(30 * time.Second)
+	assert.Zero(t, g.Referee.AfterCancel, "no start after a confirmed cancellation")
+}
+
+func TestAPlacementUnderWayWhenItsJobIsCancelledIsRefused(t *testing.T) {
+	g := newGap(t, 113, "a", "b")
+	held := false
+	g.Store.Late = func(node string, op any) time.Duration {
+		c, isCommit := op.(core.CommitOp)
+		if _, isFollow := op.(core.FollowOp); isFollow && node == g.owner.Name && held {
+			return 3 * time.Second
+		}
+		if !held && isCommit && isPlacement(c.Txn, "job-3") {
+			held = true
+			return time.Second
+		}
+		return 0
+	}
+	job := g.next("job-3")
+	require.True(t, g.Until(10*time.Second, func() bool { return held }), "the placement is under way")
+	g.wordless(4 * time.Second)
+	g.StopAt(g.other, job, nil)
+	require.True(t, g.Until(800*time.Millisecond, job.Over))
+	g.Run(20 * time.Second)
+	assert.Zero(t, g.Referee.AfterCancel, "no start after a confirmed cancellation")
+}
+
+// heldLaunch has the launch of a job held up for longer than cancel_s while the
+// machine's reports come; the job is cancelled before the next of them.
+// deaf lets the machines hear nothing of the owner for a while.
+// loadsNothing has the owner that has just claimed zone a anew ask for its slices in
+// vain for some seconds; then the state service is out for all.
+// wire counts what gob makes of messages.
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -25,6 +25,9 @@
 	RPS float64
 	// Slow is how long a transaction takes.
 	Slow time.Duration
+	// Late, if set, says how long a request is on its way, however long its sender
+	// waits.
+	Late func(node string, op any) time.Duration
 	// Keep, if set, is how many changes it keeps for those who follow.
 	Keep int
 	lost uint64 // the newest change that it keeps no more
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -36,6 +36,8 @@
 	Held func(k *Worker, what any) time.Duration
 	// Lag is how much longer than usual every packet is under way.
 	Lag time.Duration
+	// Overhear, if set, gets every message from one controller to another.
+	Overhear func(from, to string, m core.Message)
 	// Calm is when the last trouble is over; the referee asks more from then on.
 	Calm time.Duration
 	// OnMoment, if set, hears of every moment of the protocols' steps.
@@ -375,6 +377,9 @@
 			from++
 		}
 	}
+	if n.w.Overhear != nil {
+		n.w.Overhear(n.Name, to.Name, t.Message)
+	}
 	life := to.life
 	n.w.packet(n.Name, to.Name, func() {
 		if to.up && to.life == life {
@@ -418,6 +423,7 @@
 		}
 	}
 	store := func(timeout time.Duration, unknown any, exec func(func(any))) {
+		exec = w.Store.delayed(n.Name, c.Op, exec)
 		n.admit(func() { n.thawed(func() { w.rpc(n.Name, "state", timeout, unknown, exec, done) }) }, func() { done(notSent(unknown)) })
 	}
 	switch op := c.Op.(type) {
