An owner that can't read its slices answers workers only if it knows all withdrawals that count

Cause: a controller claimed a part and the state service was out before its slices were read. A controller that had confirmed the cancellation itself and ended before its halts had left did not even know of it when it was back.

Change: until the slices are read, answers carry halts of all tasks known to be withdrawn, and are given only by a controller whose view of the jobs reaches cancel_s further back than the claim: what was on a machine at the claim had been answered within lease_s before, by an owner bound by the same rule. A younger one refuses until it has loaded. The same holds after a view that was too old (410). Status names the mode.

The younger one could answer for the 2 s that the bound has to spare; several such owners in a row would use that up more than once, so it does not.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,6 +145,7 @@
 	busy    bool
 	ledger  uint64
 	fresh   time.Duration // everything before this moment is known
+	since   time.Duration // everything after this moment up to fresh is known
 	started bool          // fresh is meaningful
 	nextAt  time.Duration
 }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -26,6 +26,7 @@
 	yielding bool // told to stop: commit nothing, answer nobody
 	loading  bool
 	loaded   bool
+	blindAt  time.Duration // since when its slices are not known, if not loaded
 	// What a new owner knows of its machines.
 	fleetListed bool          // the cloud's list of a moment after the claim has been read
 	freshStart  bool          // there was no work yet
@@ -159,13 +160,15 @@
 				v.nextAt = c.now + 300*time.Millisecond
 				return
 			}
-			v.loaded, v.ledger, v.fresh, v.started = true, res.Ledger, sent, true
+			v.loaded, v.ledger, v.fresh, v.since, v.started = true, res.Ledger, sent, sent, true
 			if v == &c.partsView {
 				c.listedParts(res.Items)
 			} else {
 				c.rereadLive()
 				for _, p := range c.parts {
-					p.loaded = false // its slices are listed again
+					if p.loaded {
+						p.loaded, p.blindAt = false, c.now // its slices are listed again
+					}
 				}
 			}
 		})
@@ -403,7 +406,7 @@
 	p.owner, p.stamp, p.token, p.freeSince = c.cfg.Label, revision, revision, 0
 	if !again {
 		p.tenure = revision // all else of a part not owned is as newPart made it
-		p.heardAt = c.now
+		p.heardAt, p.blindAt = c.now, c.now
 		p.used = make([]Amount, len(c.limits))
 		p.committing = false
 		c.listAt = 0
@@ -649,3 +652,12 @@
 	margin := 2*time.Second + c.cfg.Cancel/100
 	return ok && c.now < f+c.cfg.Cancel-c.cfg.Lease-margin
 }
+
+// knowsWithdrawn says whether the part's workers can be told which of their tasks are
+// withdrawn. The slices tell; without them only what became known here does. A task
+// that was there when the part was claimed had been answered within lease_s before,
+// by an owner that knew all withdrawals up to a moment as mayAnswer demands; those
+// since then must be known here.
+func (c *Core) knowsWithdrawn(p *part) bool {
+	return p.loaded || c.jobsView.since+c.cfg.Cancel < p.blindAt
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -58,7 +58,7 @@
 		c.emit(BeatReply{Req: e.Req, Status: 421})
 		return
 	}
-	if _, gone := p.gone[rep.Host]; gone || !c.mayAnswer() {
+	if _, gone := p.gone[rep.Host]; gone || !c.mayAnswer() || !c.knowsWithdrawn(p) {
 		c.emit(BeatReply{Req: e.Req, Status: 503})
 		return
 	}
@@ -81,7 +81,7 @@
 // is settled when the next report comes.
 func (c *Core) ordersFor(p *part, h *host) []Order {
 	if !p.loaded {
-		return nil
+		return c.haltsKnown(h)
 	}
 	if len(h.tasks)+len(h.reported) == 0 {
 		h.queue = h.queue[:0]
@@ -133,6 +133,18 @@
 	return out
 }
 
+// haltsKnown lists halts of what is known to be withdrawn. An owner that can't read its
+// slices knows no more of its tasks than that.
+func (c *Core) haltsKnown(h *host) []Order {
+	var out []Order
+	for _, id := range sortedTasks(h.reported) {
+		if r := h.reported[id]; c.final[id.Job] == Withdrawn && r.State != Ended {
+			out = append(out, Order{Verb: Halt, Task: id, Attempt: r.Attempt})
+		}
+	}
+	return out
+}
+
 // mayClear guards against a launch that comes after its attempt was cleared:
 // the worker would take it for a new one. So the end must be durable and no
 // launch of the attempt may be under way.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -214,6 +214,9 @@
 		if p.known && p.owner == "" {
 			add("part "+p.name+" has no owner", seconds(c.now-p.freeSince))
 		}
+		if p.mine && !c.knowsWithdrawn(p) {
+			add("not answering workers of part "+p.name+": its slices are not read", seconds(c.now-p.blindAt))
+		}
 	}
 	return out
 }
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -303,6 +303,59 @@
 // heldLaunch has the launch of a job held up for longer than cancel_s while the
 // machine's reports come; the job is cancelled before the next of them.
 // deaf lets the machines hear nothing of the owner for a while.
+func (g *gap) deaf(d time.Duration) {
+	for _, k := range g.Workers {
+		g.CutOneWay(g.owner.Name, k.name, d)
+	}
+}
+
 // loadsNothing has the owner that has just claimed zone a anew ask for its slices in
 // vain for some seconds; then the state service is out for all.
+func (g *gap) loadsNothing() *bool {
+	out := new(bool)
+	hit := false
+	g.Store.Late = func(_ string, op any) time.Duration {
+		l, ok := op.(core.ListOp)
+		if !ok || l.Prefix != "slice/a/" {
+			return 0
+		}
+		if !hit {
+			hit = true
+			g.After(6*time.Second, func() {
+				*out = true
+				g.Store.Outage(g.Cfg.Cancel + 25*time.Second)
+			})
+		}
+		return 3 * time.Second // longer than anybody waits
+	}
+	return out
+}
+
+func TestANewOwnerThatHasNotLoadedStopsWhatIsCancelled(t *testing.T) {
+	// It has been up for longer than cancel_s, so that it knows all that counts.
+	g := newGap(t, 115, "a", "b")
+	g.Run(g.Cfg.Cancel)
+	out := g.loadsNothing()
+	g.deaf(100 * time.Millisecond)
+	g.StopAt(g.other, g.job, func() { g.owner.Restart(7 * time.Second) })
+	require.True(t, g.Until(20*time.Second, func() bool { return *out }), "the part is claimed and not loaded")
+	require.Nil(t, leaderOf(g.World, "a"))
+	assert.Less(t, g.gone(), 12*time.Second, "at the first report to the new owner")
+	assert.NotEmpty(t, g.On("job-2"), "and other work goes on")
+}
+
+func TestANewOwnerThatKnowsOfNoCancellationAnswersNobody(t *testing.T) {
+	// The owner itself confirms and ends before its halts have left; nobody else has
+	// heard, and its next life claims the part and can't load it.
+	g := newGap(t, 116, "a", "b")
+	hit := g.loadsNothing()
+	g.Store.Refuse(g.other.Name, 20*time.Second)
+	g.Cut(g.owner.Name, g.other.Name, 100*time.Millisecond, false)
+	g.deaf(100 * time.Millisecond)
+	g.StopAt(g.owner, g.job, func() { g.owner.Restart(50 * time.Millisecond) })
+	require.True(t, g.Until(20*time.Second, func() bool { return *hit }), "the part is claimed anew and not loaded")
+	require.NotEmpty(t, g.On("job-1"))
+	g.gone()
+}
+
 // wire counts what gob makes of messages.
