Gossip that comes after a gap longer than it repeats withdrawals vouches for nothing

Cause: a controller lists withdrawals in its gossip for cancel_s + 10 s. An owner without the state service that was cut from it for longer took its next gossip as proof that nothing was missed, and started what it had placed before the gap.

Change: gossip counts as proof only if what was known of its sender, by its word or by the own view of the jobs, is younger than cancel_s. Otherwise the own view has to come back first.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -94,7 +94,8 @@
 	}
 	// What it wrote after it had heard my gossip holds all withdrawals that it
 	// had told anybody of by the time I sent that; packets may be held for long.
-	if at, ok := c.sentAt[g.Echo[c.cfg.Label]]; ok {
+	// Not so if I missed it for longer than it repeats withdrawals.
+	if at, ok := c.sentAt[g.Echo[c.cfg.Label]]; ok && c.now < max(c.jobsView.fresh, p.vouched)+c.cfg.Cancel {
 		p.vouched = max(p.vouched, at)
 	}
 	for i := range g.Parts {
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -277,6 +277,15 @@
 	assert.Zero(t, g.Referee.AfterCancel, "no start after a confirmed cancellation")
 }
 
+func TestGossipThatHasForgottenACancellationVouchesForNothing(t *testing.T) {
+	// The owner is cut from the other controller for longer than that one repeats a
+	// cancellation. The machines are kept though they are silent.
+	g := newGapWith(t, 112, func(c *core.Config) { c.Knobs.SilentReturn = 10 * time.Minute }, "a", "b")
+	g.unsure(g.Cfg.Cancel+25*time.Second, g.Cfg.Cancel+12*time.Second, nil)
+	g.Run(g.Cfg.Cancel + 40*time.Second)
+	assert.Zero(t, g.Referee.AfterCancel, "no start after a confirmed cancellation")
+}
+
 func TestAPlacementUnderWayWhenItsJobIsCancelledIsRefused(t *testing.T) {
 	g := newGap(t, 113, "a", "b")
 	held := false
