A withdrawal is in the gossip to another controller until that one has heard it

Gossip repeated every withdrawal with its whole job for cancel_s + 10 s, twice a second, to all.

Vouching stays sound: an echo names gossip that was heard, not merely sent; gossip that is dropped on the way is not echoed; a new life of a controller is told everything again.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -386,7 +386,7 @@
 type Gossip struct {
 	Seq       uint64            // counts the sender's gossip
 	Echo      map[string]uint64 // the newest Seq heard of each other controller
-	Withdrawn []Item            // withdrawals the sender learned of lately
+	Withdrawn []Item            // withdrawals the sender learned of lately and the receiver may not have heard of
 	StoreOK   bool
 	Wants     Share // what it asked of the state service lately, a second
 	Parts     []PartView
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -45,6 +45,9 @@
 	standingWithdrawn = "withdrawn"
 )
 
+// justWithdrawn is as much of a withdrawn job as others must know.
+var justWithdrawn, _ = json.Marshal(jobValue{Standing: standingWithdrawn})
+
 func (j *job) key() string { return "job/" + j.id }
 
 func (j *job) stored(standing string) *jobValue {
@@ -76,7 +79,7 @@
 			s = Withdrawn
 		}
 		if s == Withdrawn {
-			c.withdrawn = append(c.withdrawn, withdrawal{c.now, Item{"job/" + id, value, stamp}})
+			c.withdrawn = append(c.withdrawn, withdrawal{c.now, c.gossipSeq + 1, Item{"job/" + id, justWithdrawn, stamp}})
 		}
 		c.finalise(id, s)
 		return nil
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -15,6 +16,7 @@
 	gossipAt time.Duration
 	bootAt   time.Duration // since when this life of it is known
 	vouched  time.Duration // it knew of my gossip of then, and told all until then
+	heardOf  uint64        // the newest of my gossip that this life of it has heard
 }
 
 func (c *Core) peer(label string) *peer {
@@ -37,7 +39,7 @@
 func (c *Core) hear(from int, m Message) {
 	p := c.peers[from]
 	if p.boot != m.Boot {
-		p.boot, p.bootAt, p.vouched = m.Boot, c.now, 0
+		p.boot, p.bootAt, p.vouched, p.heardOf = m.Boot, c.now, 0, 0
 	}
 	p.heard = c.now
 	for _, it := range m.Jobs {
@@ -92,9 +94,11 @@
 	for _, it := range g.Withdrawn {
 		c.learnJob(strings.TrimPrefix(it.Key, "job/"), it.Value, it.Stamp)
 	}
-	// What it wrote after it had heard my gossip holds all withdrawals that it
-	// had told anybody of by the time I sent that; packets may be held for long.
-	// Not so if I missed it for longer than it repeats withdrawals.
+	// What it wrote after it had heard my gossip holds, together with what came
+	// before, all withdrawals that it had told anybody of by the time I sent that;
+	// packets may be held for long. Not so if I missed it for longer than it repeats
+	// withdrawals.
+	p.heardOf = max(p.heardOf, g.Echo[c.cfg.Label])
 	if at, ok := c.sentAt[g.Echo[c.cfg.Label]]; ok && c.now < max(c.jobsView.fresh, p.vouched)+c.cfg.Cancel {
 		p.vouched = max(p.vouched, at)
 	}
@@ -131,7 +135,7 @@
 	c.gossipSeq++
 	c.sentAt[c.gossipSeq] = c.now
 	delete(c.sentAt, c.gossipSeq-120)
-	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, Withdrawn: c.recentlyWithdrawn(), StoreOK: c.storeWell(), Wants: c.wants, Heard: map[string]int{}, CutOff: c.now < c.cutOffUntil}
+	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, StoreOK: c.storeWell(), Wants: c.wants, Heard: map[string]int{}, CutOff: c.now < c.cutOffUntil}
 	for zone, hosts := range c.heard {
 		for name, at := range hosts {
 			if c.now > at+6*time.Second {
@@ -152,27 +156,31 @@
 			g.Parts = append(g.Parts, v)
 		}
 	}
-	c.tellAll(Message{Gossip: g})
+	c.withdrawn = slices.DeleteFunc(c.withdrawn, func(w withdrawal) bool { return c.now > w.at+c.cfg.Cancel+10*time.Second })
+	for i, p := range c.peers {
+		own := *g
+		own.Withdrawn = c.unheardBy(p)
+		c.emit(Tell{i, Message{Boot: c.cfg.Boot, Gossip: &own}})
+	}
 }
 
-// recentlyWithdrawn lists withdrawals that another controller may have to hear
-// of from here because it does not reach the state service.
-func (c *Core) recentlyWithdrawn() []Item {
+// unheardBy lists the withdrawals that another controller may have to hear of from
+// here because it does not reach the state service. Each is in all gossip to it
+// until it has heard one of those.
+func (c *Core) unheardBy(p *peer) []Item {
 	var out []Item
-	kept := c.withdrawn[:0]
 	for _, w := range c.withdrawn {
-		if c.now < w.at+c.cfg.Cancel+10*time.Second {
-			kept = append(kept, w)
+		if p.heardOf < w.from {
 			out = append(out, w.item)
 		}
 	}
-	c.withdrawn = kept
 	return out
 }
 
-// withdrawal is a withdrawal and when it became known here.
+// withdrawal is a withdrawal, when it became known here and the first gossip it is in.
 type withdrawal struct {
 	at   time.Duration
+	from uint64
 	item Item
 }
 
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -1,6 +1,8 @@
 package fake
 
 import (
+	"encoding/gob"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -353,6 +355,30 @@
 	assert.NotEmpty(t, g.On("job-2"), "and other work goes on")
 }
 
+func TestANewLifeOfTheOwnerIsToldOfCancellationsAgain(t *testing.T) {
+	// Its former life had heard of the cancellation and ended before its machines did.
+	// The new one claims the part and can't load it; it answers nobody, knowing too
+	// little, but what it knows by the time it may is what the others tell it.
+	g := newGap(t, 117, "a", "b")
+	g.loadsNothing()
+	g.deaf(3 * time.Second)
+	var again []string
+	g.Overhear = func(_, to string, m core.Message) {
+		if m.Gossip != nil && to == g.owner.Name && g.owner.life > 1 {
+			for _, it := range m.Gossip.Withdrawn {
+				again = append(again, it.Key)
+			}
+		}
+	}
+	g.StopAt(g.other, g.job, nil)
+	g.Run(2 * time.Second)
+	require.NotEmpty(t, g.On("job-1"))
+	g.owner.Restart(50 * time.Millisecond)
+	g.Run(2 * time.Second)
+	assert.Contains(t, again, "job/job-1")
+	g.gone()
+}
+
 func TestANewOwnerThatKnowsOfNoCancellationAnswersNobody(t *testing.T) {
 	// The owner itself confirms and ends before its halts have left; nobody else has
 	// heard, and its next life claims the part and can't load it.
@@ -368,3 +394,52 @@
 }
 
 // wire counts what gob makes of messages.
+type wire int
+
+func (n *wire) Write(b []byte) (int, error) {
+	*n += wire(len(b))
+	return len(b), nil
+}
+
+func TestManySmallJobsOfWhichAQuarterIsCancelled(t *testing.T) {
+	cfg := Settings()
+	cfg.Teams[0].Limit = core.Amount{Cores: 400}
+	w := NewWith(120, cfg, "a", "b", "c", "a", "b", "c", "a")
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 20
+	}
+	w.Run(5 * time.Second)
+	var repeated, told int
+	var all, withdrawals wire
+	allSent, withdrawalsSent := gob.NewEncoder(&all), gob.NewEncoder(&withdrawals)
+	w.Overhear = func(from, to string, m core.Message) {
+		if m.Gossip == nil {
+			return
+		}
+		require.NoError(t, allSent.Encode(m))
+		require.NoError(t, withdrawalsSent.Encode(m.Gossip.Withdrawn))
+		repeated += len(m.Gossip.Withdrawn)
+	}
+	var jobs []*Job
+	const minutes = 3
+	for i := range minutes * 60 * 4 {
+		s := spec(fmt.Sprintf("job-%d", i), "red", 1, 2)
+		job := w.Submit(s, 12*time.Second)
+		jobs = append(jobs, job)
+		if i%4 == 0 {
+			w.After(time.Duration(w.Rng.IntN(15000))*time.Millisecond, func() { w.Stop(job) })
+		}
+		w.Run(250 * time.Millisecond)
+	}
+	for _, j := range jobs {
+		ends(t, w, j, 2*time.Minute)
+		if j.Told == core.Withdrawn {
+			told++
+		}
+	}
+	t.Logf("%d cancelled; each repeated %.1f times to each other controller; gossip %d bytes/s a controller, %d of it withdrawals",
+		told, float64(repeated)/float64(told*7*6), int(all)/7/(minutes*60), int(withdrawals)/7/(minutes*60))
+	assert.Greater(t, told, minutes*60*3/4, "a quarter is cancelled")
+	assert.Less(t, float64(repeated)/float64(told*7*6), 4.0, "repeated until it has been heard")
+}
