A worker that may still take a launch of a withdrawn job is not answered

Cause: a launch that went straight to a worker may come at any time while token and session match. After a withdrawal the token is raised; when the state service is out it can't be, and the worker, answered all the while, kept its session.

Change: such a worker gets no answer until it shows the attempt or the token has been raised, so that its session ends otherwise. The token is raised only if that is still the case a second later, and once: it had been raised again while the worker had not yet shown the first. A raise that was certainly not carried out does not cost the part any more; in an outage it had ended the leases of all machines of the part.

--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 )
@@ -278,7 +279,9 @@
 			}
 			if p.reclaimAt > 0 && c.now >= p.reclaimAt && p.loaded && !p.committing && !p.yielding {
 				p.reclaimAt = 0
-				c.claim(p)
+				if slices.ContainsFunc(p.hostList(), func(h *host) bool { return c.launchMayCome(p, h) }) {
+					c.claim(p)
+				}
 			}
 		case !p.known || p.claiming || c.now < p.retryAt:
 		case p.owner == c.cfg.Label:
@@ -368,6 +371,9 @@
 		case res.Outcome == OK:
 			c.claimed(p, res.Revision, again)
 			return
+		case again && res.Outcome == NotSent:
+			p.reclaimAt = c.now + time.Second // mine as before
+			return
 		case res.Outcome == Refused && res.NoLease:
 			c.lease = 0
 		}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -70,6 +70,13 @@
 		return
 	}
 	h.beatSeq = rep.Seq
+	if c.launchMayCome(p, h) {
+		if p.reclaimAt == 0 {
+			p.reclaimAt = c.now + time.Second
+		}
+		c.emit(BeatReply{Req: e.Req, Status: 503})
+		return
+	}
 	h.lastAnswer, h.expired = c.now, false
 	c.heardOf(h)
 	c.greet(p, h)
@@ -105,11 +112,9 @@
 			if _, flying := h.unsure[launchKey{id, t.attempt}]; flying && !shown {
 				// The launch may still come. Once the worker knows the attempt, it
 				// has no effect any more. While the job lives that costs a start
-				// at most; after a withdrawal the token is raised instead.
+				// at most; after a withdrawal see launchMayCome.
 				if t.slice != nil && t.slice.job.standing == Pending && c.mayStart() {
 					out = append(out, Order{Verb: Launch, Task: id, Attempt: t.attempt})
-				} else if p.reclaimAt == 0 {
-					p.reclaimAt = c.now + time.Second
 				}
 			}
 			out = append(out, Order{Verb: Halt, Task: id, Attempt: t.attempt, Leeway: c.leewayNow(t)})
@@ -133,6 +138,18 @@
 	return out
 }
 
+// launchMayCome says whether the worker may still take a launch of a withdrawn job. It
+// does until it shows the attempt, sees a raised token or its session ends: while the
+// token can't be raised, as when the state service is out, it must not be answered.
+func (c *Core) launchMayCome(p *part, h *host) bool {
+	for k, l := range h.unsure {
+		if c.final[k.task.Job] == Withdrawn && l.token == p.token && h.reported[k.task].Attempt != k.attempt {
+			return true
+		}
+	}
+	return false
+}
+
 // haltsKnown lists halts of what is known to be withdrawn. An owner that can't read its
 // slices knows no more of its tasks than that.
 func (c *Core) haltsKnown(h *host) []Order {
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -313,6 +313,63 @@
 
 // heldLaunch has the launch of a job held up for longer than cancel_s while the
 // machine's reports come; the job is cancelled before the next of them.
+func (g *gap) heldLaunch(told func()) {
+	held := 0
+	g.Held = func(k *Worker, what any) time.Duration {
+		if !launches(what, "job-3") {
+			return 0
+		}
+		held++
+		k.nextAt = g.Now + time.Second
+		return g.Cfg.Cancel + 10*time.Second
+	}
+	g.Run(time.Second) // between two reports
+	job := g.next("job-3")
+	require.True(g.t, g.Until(10*time.Second, func() bool { return held > 0 }), "the launch is under way")
+	g.StopAt(g.other, job, told)
+	require.True(g.t, g.Until(time.Second, job.Over))
+	require.Zero(g.t, job.Starts)
+	g.Run(g.Cfg.Cancel + 20*time.Second)
+	assert.Equal(g.t, 1, held)
+	assert.Zero(g.t, g.Referee.AfterCancel, "no start after a confirmed cancellation")
+}
+
+func TestALaunchHeldUpStartsNothingAfterACancellation(t *testing.T) {
+	g := newGap(t, 114, "a", "b")
+	before := g.Store.rows["part/a"].stamp
+	claims := 0
+	g.Store.Late = func(_ string, op any) time.Duration {
+		if c, ok := op.(core.CommitOp); ok && len(c.Txn.Apply) > 0 && c.Txn.Apply[0].Key == "part/a" {
+			claims++
+		}
+		return 0
+	}
+	g.heldLaunch(nil)
+	assert.Greater(t, g.Store.rows["part/a"].stamp, before, "the token is raised")
+	assert.Equal(t, 1, claims, "once")
+	assert.NotEmpty(t, g.On("job-2"), "and other work on the machines goes on")
+}
+
+func TestALaunchHeldUpWhileNoTokenCanBeRaised(t *testing.T) {
+	// The machine gets no answer, so that its session ends before the launch comes.
+	for _, later := range []time.Duration{0, 5 * time.Second} {
+		g := newGap(t, 118, "a", "b")
+		whole := spec("job-4", "red", 1, 16) // all of another machine
+		whole.Zone, whole.Spot = "a", false
+		g.Submit(whole, 10*time.Minute)
+		require.True(t, g.Until(time.Minute, started(g.World, "job-4", 1)))
+		starts := g.Jobs["job-4"].Starts
+		g.heldLaunch(func() {
+			g.Store.Outage(g.Cfg.Cancel + 25*time.Second)
+			for _, k := range g.Workers {
+				k.nextAt += later
+			}
+		})
+		assert.NotEmpty(t, g.On("job-4"), "other machines are answered")
+		assert.Equal(t, starts, g.Jobs["job-4"].Starts)
+	}
+}
+
 // deaf lets the machines hear nothing of the owner for a while.
 func (g *gap) deaf(d time.Duration) {
 	for _, k := range g.Workers {
