What rests on the workers' times holds for slow reports and for short cancellations

Bounds made for reports of 3 s, leases of 14 s and cancellations of 44 s did not hold for others. The view is now renewed so often that it stays young enough, and nothing is started once nobody may be answered: what starts in a session that has just begun has a whole lease before it. With reports every 8 s a machine was given back for one lost report (14 s of silence), and a part of two machines was handed over as not heard (8 s). Both now wait for a late report, the first also for a lost one. Leases and reports of the other deployments give what they gave, but for half a second of silence and of deafness where reports come every 6 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -159,7 +159,7 @@
 		shown: map[string][]Shown{}, heard: map[string]map[string]time.Duration{}, sentAt: map[uint64]time.Duration{}, sPerGB: map[int]float64{},
 		partsView: view{prefix: "part/"}, jobsView: view{prefix: "job/"},
 	}
-	c.cfg.Knobs.Hold = min(cfg.Knobs.Hold, max(time.Duration(holdShare*float64(cfg.Lease)), leastHold))
+	c.cfg.Knobs = cfg.Knobs.InForce(cfg.Report, cfg.Lease)
 	c.gossipSeq = cfg.Boot << 32 // no number of an earlier life comes again
 	for _, z := range cfg.Zones {
 		c.zone(z)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -175,8 +175,7 @@
 		})
 		return
 	}
-	wait := 2 * time.Second
-	c.call(FollowOp{v.prefix, v.ledger, wait}, func(r any) {
+	c.call(FollowOp{v.prefix, v.ledger, c.followFor(v)}, func(r any) {
 		v.busy = false
 		res := r.(FollowResult)
 		switch res.Outcome {
@@ -188,12 +187,7 @@
 			v.fresh = sent
 			c.store(sent, true)
 			if len(res.News) > 0 {
-				// Jobs are told directly as well, so their view may gather news;
-				// with many jobs each look would bring some.
-				v.nextAt = c.now + 250*time.Millisecond
-				if v == &c.jobsView {
-					v.nextAt = c.now + time.Second
-				}
+				v.nextAt = c.now + c.pauseFor(v) // with many jobs each look would bring some
 			}
 		case Refused:
 			c.store(sent, true)
@@ -314,16 +308,6 @@
 	noHome     = 300 * time.Millisecond
 )
 
-// holdShare is the part of a worker's lease that a controller's may last at most.
-// When a controller stands still or is cut off, its lease must run out, its part be
-// claimed and its workers find the new owner before theirs have run out too; they
-// first wait for an answer, then go through the others one by one. With 8 s of 14
-// most workers' leases were lost to each controller that stood still.
-const holdShare = 0.28
-
-// leastHold is what it lasts in any case: a renewal must be able to go wrong once.
-const leastHold = 3 * time.Second
-
 // claimDelay is how long a free part is left to controllers with a better
 // reason to take it: its home first, then whoever owns the fewest.
 func (c *Core) claimDelay(p *part) time.Duration {
@@ -577,14 +561,14 @@
 // heardBy names the controller that hears the part's workers while this one,
 // though it reaches the state service, hears none of them.
 func (c *Core) heardBy(p *part) *peer {
-	if c.now < p.loadedAt+10*time.Second {
+	if c.now < p.loadedAt+max(10*time.Second, c.deafAfter()) {
 		return nil
 	}
 	workers := 0
 	for _, h := range p.hostList() {
 		if h.state == up {
 			workers++
-			if c.silence(h) < 8*time.Second {
+			if c.silence(h) < c.deafAfter() {
 				return nil
 			}
 		}
@@ -645,18 +629,13 @@
 // mayStart says whether work may be started: only while withdrawals arrive.
 func (c *Core) mayStart() bool {
 	f, ok := c.fresh()
-	return ok && c.now < f+6*time.Second
+	return ok && c.now < f+c.startFor()
 }
 
-// mayAnswer says whether workers may still be answered. A withdrawal may have
-// been accepted elsewhere right after fresh; once this controller falls
-// silent, its workers' leases end within lease_s, and that must be over
-// cancel_s after the withdrawal, with room for drifting clocks and for the
-// time a report was under way.
+// mayAnswer says whether workers may still be answered, see AnswerFor.
 func (c *Core) mayAnswer() bool {
 	f, ok := c.fresh()
-	margin := 2*time.Second + c.cfg.Cancel/100
-	return ok && c.now < f+c.cfg.Cancel-c.cfg.Lease-margin
+	return ok && c.now < f+AnswerFor(c.cfg.Lease, c.cfg.Cancel)
 }
 
 // knowsWithdrawn says whether the part's workers can be told which of their tasks are
