check names settings that don't go together or are too small for the zones

A cancellation too close to the lease, reports too seldom for it, a lease too short to find another controller in, a grace that outlasts it, too few changes or operations for the zones, values too small, zones without a controller and controllers in no zone each give a warning that names the field.

--- a/cmd/roadcleat/root.go
+++ b/cmd/roadcleat/root.go
@@ -101,13 +101,18 @@
 		s.External.Cloud, d.Cloud.RPS, d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS); err != nil {
 		return err
 	}
-	for _, warning := range s.Warnings() {
+	for _, warning := range s.Warnings(o) {
 		if _, err := fmt.Fprintln(w, "warning:", warning); err != nil {
 			return err
 		}
 	}
+	inForce := o.InForce(&d.Workers)
 	for _, k := range config.Knobs() {
-		if _, err := fmt.Fprintf(w, "[%s] %s = %s\n", k.Section, k.Key, k.Value(o)); err != nil {
+		note := ""
+		if v := k.Value(inForce); v != k.Value(o) {
+			note = " (" + v + " in force)"
+		}
+		if _, err := fmt.Fprintf(w, "[%s] %s = %s%s\n", k.Section, k.Key, k.Value(o), note); err != nil {
 			return err
 		}
 	}
--- a/cmd/roadcleat/root_test.go
+++ b/cmd/roadcleat/root_test.go
@@ -34,6 +34,19 @@
 	assert.Contains(t, out, version)
 }
 
+func TestCheckWarnsAndPrintsWhatIsInForce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"label":"n0","location":"z","api_addr":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+"external":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},"deployment":{"zones":["z","y"],
+"workers":{"report_s":8,"lease_s":20,"cancel_s":58},"state":{"rps":150,"write_rps":50,"value_kb":16,"txn_ops":12},"cloud":{"rps":5}}}`), 0o600))
+	code, out, errs := run("check", "--config", path)
+	assert.Zero(t, code, errs)
+	for _, want := range []string{"warning: deployment.workers.report_s: 8 is more than a third", "warning: deployment.zones: no controller is in y",
+		"[parts] hold_s = 8 (5.6 in force)\n", "[hiring] silent_return_s = 14 (17 in force)\n", "[parts] grace_s = 2\n"} {
+		assert.Contains(t, out, want)
+	}
+}
+
 func TestOperatorsCommands(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -42,6 +43,7 @@
 		{`"memory_mb":100`, `"memory_mb":-5`, "memory_mb"},
 		{`"label":"n0"`, `"label":7`, "label"},
 		{`"txn_ops":12`, `"txn_ops":2`, "deployment.state.txn_ops: 2 is too few, at least 3"},
+		{`"cpus":8`, `"gpus":9,"gpus_max":8,"cpus":8`, "deployment.teams[0].gpus: guarantee 9 is above gpus_max 8"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
 		require.Error(t, err, c.to)
@@ -53,7 +55,7 @@
 func TestWhatRunsPoorlyStartsWithAWarning(t *testing.T) {
 	s, err := Parse([]byte(good))
 	require.NoError(t, err)
-	assert.Empty(t, s.Warnings())
+	assert.Empty(t, s.Warnings(DefaultOperator()))
 	for _, c := range []struct{ from, to, field string }{
 		{`"rps":150`, `"rps":5`, "deployment.state.rps: 5 is little for 2 controllers, 6 would do"},
 		{`"write_rps":50`, `"write_rps":1.5`, "deployment.state.write_rps"},
@@ -63,8 +65,102 @@
 	} {
 		s, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
 		require.NoError(t, err, c.to)
-		require.Len(t, s.Warnings(), 1, c.to)
-		assert.Contains(t, s.Warnings()[0], c.field)
+		warnings := s.Warnings(DefaultOperator())
+		require.Len(t, warnings, 1, c.to)
+		assert.Contains(t, warnings[0], c.field)
+	}
+}
+
+func TestTimesThatDontGoTogetherAreNamed(t *testing.T) {
+	const was = `"report_s":3,"lease_s":14,"cancel_s":44`
+	for _, c := range []struct {
+		report, lease, cancel float64
+		grace                 float64
+		warn                  string // none if empty
+	}{
+		{3, 14, 44, 2, ""},
+		{2.5, 14, 44, 2, ""},
+		{8, 38, 58, 2, ""},
+		{6, 36, 66, 2, ""},
+		{5, 26.5, 56.5, 2, ""},
+		{3, 14, 22, 2, ""},
+		{3, 14, 18, 2, "deployment.workers.cancel_s: 18 is so close to lease_s, 14, that a controller which loses the state service while another is down answers its workers for 1.8 s only; 22 would do"},
+		{3, 14, 16, 2, "deployment.workers.cancel_s: with 16 no worker can ever be answered, since its lease of 14 s must be over by then; 22 would do"},
+		{8, 38, 40, 2, "deployment.workers.cancel_s: with 40 no worker"},
+		{8, 20, 58, 2, "deployment.workers.report_s: 8 is more than a third of lease_s, 20"},
+		{3, 10, 44, 2, "deployment.workers.lease_s: 10 is less than the 10.8 s in which workers find another controller"},
+		{8, 38, 58, 25, "[parts] grace_s: 25 is too long: with it workers find another zone's controller in 42.0 s, and lease_s is 38"},
+		{8, 38, 58, 10, ""},
+	} {
+		o := DefaultOperator()
+		o.GraceS = c.grace
+		s, err := Parse([]byte(strings.Replace(good, was, fmt.Sprintf(`"report_s":%g,"lease_s":%g,"cancel_s":%g`, c.report, c.lease, c.cancel), 1)))
+		require.NoError(t, err)
+		got := s.Warnings(o)
+		if c.warn == "" {
+			assert.Empty(t, got, c)
+			continue
+		}
+		require.Len(t, got, 1, "%v", c)
+		assert.Contains(t, got[0], c.warn)
+	}
+}
+
+func TestWhatIsTooSmallForTheZonesIsNamed(t *testing.T) {
+	zones := func(n int) string {
+		var list []string
+		for i := range n {
+			list = append(list, fmt.Sprintf("%q", fmt.Sprintf("zone-%d", i)))
+		}
+		return strings.Join(list, ",")
+	}
+	for _, c := range []struct {
+		zones    int
+		from, to string
+		warn     string
+	}{
+		{3, `"txn_ops":12`, `"txn_ops":12`, ""},
+		{3, `"txn_ops":12`, `"txn_ops":3`, "deployment.state.txn_ops: 3 is little for a job that goes to all zones at once, 4 would do"},
+		{11, `"txn_ops":12`, `"txn_ops":12`, ""},
+		{12, `"txn_ops":12`, `"txn_ops":12`, "deployment.state.txn_ops: 12 is little"},
+		{3, `"value_kb":16`, `"value_kb":1`, "deployment.state.value_kb: 1 is little for what is kept of a job's tasks and of each zone, 2 would do"},
+		{11, `"value_kb":16`, `"value_kb":2`, ""},
+		{200, `"txn_ops":12`, `"txn_ops":300`, "deployment.state.write_rps: 50 is little"},
+		{400, `"write_rps":50,"value_kb":16,"txn_ops":12`, `"write_rps":500,"value_kb":16,"txn_ops":500`, "deployment.state.value_kb: 16 is little"},
+		{8, `"write_rps":50`, `"write_rps":5`, "deployment.state.write_rps: 5 is little for 2 controllers, 9 would do"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		text = strings.Replace(text, `"zones":["z","y"]`, `"zones":["z","y",`+zones(c.zones-2)+`]`, 1)
+		s, err := Parse([]byte(text))
+		require.NoError(t, err, c.to)
+		got := s.littleOf()
+		if c.warn == "" {
+			assert.Empty(t, got, c.to)
+			continue
+		}
+		require.Len(t, got, 1, "%v", c)
+		assert.Contains(t, got[0], c.warn)
+	}
+}
+
+func TestZonesWithoutAControllerAndControllersInNoZoneAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		warn     []string
+	}{
+		{`"zones":["z","y"]`, `"zones":["z"]`, []string{`others[0].location: "y" is none of deployment.zones`}},
+		{`"zones":["z","y"]`, `"zones":["y"]`, []string{`location: "z" is none of deployment.zones`}},
+		{`"zones":["z","y"]`, `"zones":["z","y","x","w"]`, []string{"deployment.zones: no controller is in x, w:"}},
+		{`"location":"y"`, `"location":"z"`, []string{"deployment.zones: no controller is in y:"}},
+		{`"zones":["z","y"]`, `"zones":["z","x"]`, []string{`others[0].location: "y"`, "deployment.zones: no controller is in x:"}},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		require.NoError(t, err, c.to)
+		got := s.Warnings(DefaultOperator())
+		require.Len(t, got, len(c.warn), c.to)
+		for i := range got {
+			assert.Contains(t, got[i], c.warn[i])
+		}
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"gopkg.in/ini.v1"
+
+	"roadcleat/internal/core"
 )
 
 // OperatorEnv names the file of the operators' settings when the flag does not.
@@ -44,7 +46,7 @@
 			func(o *Operator, v float64) { o.WindowS = v }, func(o *Operator) float64 { return o.WindowS }},
 		{"hiring", "spare_share", "0.2", "share of the average demand that is kept free on top of it", 0, 10,
 			func(o *Operator, v float64) { o.SpareShare = v }, func(o *Operator) float64 { return o.SpareShare }},
-		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back", 2, 86400,
+		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back, at least a late report and a lost one", 2, 86400,
 			func(o *Operator, v float64) { o.SilentReturnS = v }, func(o *Operator) float64 { return o.SilentReturnS }},
 		{"parts", "hold_s", "8", "life of this controller's lease at the state service, at most 28% of a worker's", 1, 600,
 			func(o *Operator, v float64) { o.HoldS = v }, func(o *Operator) float64 { return o.HoldS }},
@@ -56,6 +58,17 @@
 // Value prints what a knob is set to.
 func (k Knob) Value(o *Operator) string { return strconv.FormatFloat(k.get(o), 'g', -1, 64) }
 
+func (o *Operator) knobs() core.Knobs {
+	return core.Knobs{Hold: sec(o.HoldS), Grace: sec(o.GraceS), SilentReturn: sec(o.SilentReturnS)}
+}
+
+// InForce is what the settings come to with a deployment's workers.
+func (o *Operator) InForce(w *Workers) *Operator {
+	in, k := *o, o.knobs().InForce(sec(w.ReportS), sec(w.LeaseS))
+	in.HoldS, in.SilentReturnS = k.Hold.Seconds(), k.SilentReturn.Seconds()
+	return &in
+}
+
 // DefaultOperator is what holds when there is no operators' file.
 func DefaultOperator() *Operator {
 	o := new(Operator)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -8,6 +8,11 @@
 	"math"
 	"net"
 	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"roadcleat/internal/core"
 )
 
 // Settings is the platform's file. Fields it does not name are ignored.
@@ -215,31 +220,109 @@
 	leastCalls    = 0.1
 	leastMemoryMB = 24.0
 	leastSockets  = 48
+	leastValueKB  = 2.0 // lists a few dozen tasks that run
+)
+
+// What the store's values hold: a job's description, and something of each zone.
+const (
+	specBytes      = 512.0
+	zoneEntryBytes = 48.0
 )
 
-// Warnings names what is so little that so many controllers will run poorly.
-// It ends no start: what runs poorly serves somebody, and a controller that is
-// refused here because of a reckoning would serve nobody. More controllers than
-// zones are well: those without a part stand by.
-func (s *Settings) Warnings() []string {
-	n := float64(1 + len(s.Others))
+// wellAnswered is for how many seconds workers should be answered when nobody can tell
+// whether a withdrawal was missed.
+const wellAnswered = 5.0
+
+// Warnings names the settings of the platform and the operators that make a promise
+// impossible or poor: what is so little that so many controllers and zones will run badly,
+// times that don't go together, zones that nobody is in. It ends no start: what runs poorly
+// serves somebody, and a controller that is refused here because of a reckoning would serve
+// nobody. More controllers than zones are well: those without a part stand by.
+func (s *Settings) Warnings(o *Operator) []string {
+	return slices.Concat(s.littleOf(), s.timesApart(o), s.zonesAlone())
+}
+
+// littleOf names what there is too little of.
+func (s *Settings) littleOf() []string {
+	n, zones := float64(1+len(s.Others)), float64(len(s.Deployment.Zones))
 	d := &s.Deployment
+	perZone := 0.0
+	for _, z := range d.Zones {
+		perZone += float64(len(z)) + zoneEntryBytes
+	}
 	var out []string
 	for _, b := range []struct {
 		field      string
 		has, least float64
+		what       string
 	}{
-		{"deployment.state.rps", d.State.RPS, leastRequests * n},
-		{"deployment.state.write_rps", d.State.WriteRPS, leastChanges * n},
-		{"deployment.cloud.rps", d.Cloud.RPS, leastCalls * n},
-		{"deployment.resources.memory_mb", d.Resources.MemoryMB, leastMemoryMB},
-		{"deployment.resources.fd_limit", float64(d.Resources.FDLimit), leastSockets + 4*(n-1)},
+		{"deployment.state.rps", d.State.RPS, leastRequests * n, "for %g controllers"},
+		{"deployment.state.write_rps", d.State.WriteRPS, max(leastChanges*n, 1+leastChanges*zones), "for %g controllers"},
+		{"deployment.state.txn_ops", float64(d.State.TxnOps), 1 + zones, "for a job that goes to all zones at once"},
+		{"deployment.state.value_kb", d.State.ValueKB, max(leastValueKB, math.Ceil((specBytes+perZone)/1024)), "for what is kept of a job's tasks and of each zone"},
+		{"deployment.cloud.rps", d.Cloud.RPS, leastCalls * n, "for %g controllers"},
+		{"deployment.resources.memory_mb", d.Resources.MemoryMB, leastMemoryMB, "for %g controllers"},
+		{"deployment.resources.fd_limit", float64(d.Resources.FDLimit), leastSockets + 4*(n-1), "for %g controllers"},
 	} {
 		if b.has > 0 && b.has < b.least {
-			out = append(out, fmt.Sprintf("%s: %g is little for %g controllers, %g would do", b.field, b.has, n, b.least))
+			what := b.what
+			if strings.Contains(what, "%g") {
+				what = fmt.Sprintf(what, n)
+			}
+			out = append(out, fmt.Sprintf("%s: %g is little %s, %g would do", b.field, b.has, what, b.least))
 		}
 	}
 	return out
 }
 
+// timesApart names times that don't go together.
+func (s *Settings) timesApart(o *Operator) []string {
+	w := &s.Deployment.Workers
+	var out []string
+	warn := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	enough := math.Ceil((w.LeaseS + wellAnswered + 2) / 0.99)
+	switch answer := core.AnswerFor(sec(w.LeaseS), sec(w.CancelS)).Seconds(); {
+	case answer <= 0:
+		warn("deployment.workers.cancel_s: with %g no worker can ever be answered, since its lease of %g s must be over by then; %g would do", w.CancelS, w.LeaseS, enough)
+	case answer < wellAnswered:
+		warn("deployment.workers.cancel_s: %g is so close to lease_s, %g, that a controller which loses the state service while another is down answers its workers for %.1f s only; %g would do", w.CancelS, w.LeaseS, answer, enough)
+	}
+	if w.ReportS > w.LeaseS/3 {
+		warn("deployment.workers.report_s: %g is more than a third of lease_s, %g: reports lost in a row cost a worker its lease", w.ReportS, w.LeaseS)
+	}
+	if found := o.knobs().TakenOverIn(sec(w.ReportS), sec(w.LeaseS)); found > sec(w.LeaseS) {
+		warn("deployment.workers.lease_s: %g is less than the %.1f s in which workers find another controller when theirs ends, so its end costs running work", w.LeaseS, found.Seconds())
+	} else if found += sec(o.GraceS); found > sec(w.LeaseS) {
+		warn("[parts] grace_s: %g is too long: with it workers find another zone's controller in %.1f s, and lease_s is %g", o.GraceS, found.Seconds(), w.LeaseS)
+	}
+	return out
+}
+
+// zonesAlone names zones without a controller, and controllers that are in no zone.
+func (s *Settings) zonesAlone() []string {
+	var out, alone []string
+	in := map[string]bool{s.Location: true}
+	at := func(field, location string) {
+		if !slices.Contains(s.Deployment.Zones, location) {
+			out = append(out, fmt.Sprintf("%s: %q is none of deployment.zones: that controller looks after machines only in place of others", field, location))
+		}
+	}
+	at("location", s.Location)
+	for i, other := range s.Others {
+		in[other.Location] = true
+		at(fmt.Sprintf("others[%d].location", i), other.Location)
+	}
+	for _, z := range s.Deployment.Zones {
+		if !in[z] {
+			alone = append(alone, z)
+		}
+	}
+	if len(alone) > 0 {
+		out = append(out, fmt.Sprintf("deployment.zones: no controller is in %s: when such a zone is cut off, nobody hears its machines, and their work starts elsewhere", strings.Join(alone, ", ")))
+	}
+	return out
+}
+
+func sec(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
 func bad(v float64) bool { return v < 0 || math.IsNaN(v) || math.IsInf(v, 0) }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -34,7 +34,7 @@
 	limitProcess(s)
 	log := slog.New(slog.NewTextHandler(logTo, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
 
-	for _, w := range s.Warnings() {
+	for _, w := range s.Warnings(o) {
 		log.Warn("settings", "field", w)
 	}
 	apiLn, err := net.Listen("tcp", s.APIAddr)
