Settings, bodies of requests: said once

The operators' settings had a setter and a getter each, and were turned into the core's terms in two places; seconds became durations in two packages, and both readers of bodies wrote the same refusal. The other pairs that look alike differ in what they mean: imports, the clients' answers by type, stories.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -108,15 +108,18 @@
 	return c.Conn.Close()
 }
 
+// body reads a request's body, or answers that this is not possible.
 func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
+	}
 	return b, err == nil
 }
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
-		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
 		return
 	}
 	spec, err := wire.DecodeRun(b)
@@ -188,7 +191,6 @@
 func (s *Server) beat(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r)
 	if !ok {
-		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
 		return
 	}
 	rep, err := wire.DecodeReport(b)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -16,7 +16,7 @@
 // Operator holds the operators' own settings.
 type Operator struct {
 	FetchSPerGB   float64 // seconds per GB assumed before any fetch was seen
-	Frontier      int     // partial schedules kept while planning
+	Frontier      float64 // partial schedules kept while planning
 	KeepIdleS     float64 // idle time after which a machine may be returned
 	WindowS       float64 // how far back demand is looked at
 	SpareShare    float64 // room kept beyond the demand seen
@@ -29,43 +29,44 @@
 type Knob struct {
 	Section, Key, Default, Doc string
 	Min, Max                   float64
-	set                        func(*Operator, float64)
-	get                        func(*Operator) float64
+	field                      func(*Operator) *float64
 }
 
 // Knobs is the one table of the operators' settings and their defaults.
 func Knobs() []Knob {
 	return []Knob{
 		{"planning", "fetch_s_per_gb", "5", "seconds to fetch one GB, until fetches were seen", 0.01, 1000,
-			func(o *Operator, v float64) { o.FetchSPerGB = v }, func(o *Operator) float64 { return o.FetchSPerGB }},
+			func(o *Operator) *float64 { return &o.FetchSPerGB }},
 		{"planning", "frontier", "64", "partial schedules kept at most while a pipeline is planned", 1, 4096,
-			func(o *Operator, v float64) { o.Frontier = int(v) }, func(o *Operator) float64 { return float64(o.Frontier) }},
+			func(o *Operator) *float64 { return &o.Frontier }},
 		{"hiring", "keep_idle_s", "25", "idle seconds after which a machine that is not needed is returned", 1, 86400,
-			func(o *Operator, v float64) { o.KeepIdleS = v }, func(o *Operator) float64 { return o.KeepIdleS }},
+			func(o *Operator) *float64 { return &o.KeepIdleS }},
 		{"hiring", "window_s", "40", "seconds of past demand that the fleet is sized for", 5, 86400,
-			func(o *Operator, v float64) { o.WindowS = v }, func(o *Operator) float64 { return o.WindowS }},
+			func(o *Operator) *float64 { return &o.WindowS }},
 		{"hiring", "spare_share", "0.2", "share of the average demand that is kept free on top of it", 0, 10,
-			func(o *Operator, v float64) { o.SpareShare = v }, func(o *Operator) float64 { return o.SpareShare }},
+			func(o *Operator) *float64 { return &o.SpareShare }},
 		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back, at least a late report and a lost one", 2, 86400,
-			func(o *Operator, v float64) { o.SilentReturnS = v }, func(o *Operator) float64 { return o.SilentReturnS }},
+			func(o *Operator) *float64 { return &o.SilentReturnS }},
 		{"parts", "hold_s", "8", "life of this controller's lease at the state service, at most 28% of a worker's", 1, 600,
-			func(o *Operator, v float64) { o.HoldS = v }, func(o *Operator) float64 { return o.HoldS }},
+			func(o *Operator) *float64 { return &o.HoldS }},
 		{"parts", "grace_s", "2", "wait before another zone's free part is taken", 0, 600,
-			func(o *Operator, v float64) { o.GraceS = v }, func(o *Operator) float64 { return o.GraceS }},
+			func(o *Operator) *float64 { return &o.GraceS }},
 	}
 }
 
 // Value prints what a knob is set to.
-func (k Knob) Value(o *Operator) string { return strconv.FormatFloat(k.get(o), 'g', -1, 64) }
+func (k Knob) Value(o *Operator) string { return strconv.FormatFloat(*k.field(o), 'g', -1, 64) }
 
-func (o *Operator) knobs() core.Knobs {
-	return core.Knobs{Hold: sec(o.HoldS), Grace: sec(o.GraceS), SilentReturn: sec(o.SilentReturnS)}
+// Knobs are the settings in the core's terms.
+func (o *Operator) Knobs() core.Knobs {
+	return core.Knobs{FetchSPerGB: o.FetchSPerGB, Frontier: int(o.Frontier), KeepIdle: Seconds(o.KeepIdleS), Window: Seconds(o.WindowS),
+		SpareShare: o.SpareShare, SilentReturn: Seconds(o.SilentReturnS), Hold: Seconds(o.HoldS), Grace: Seconds(o.GraceS)}
 }
 
 // InForce is what the settings come to with a deployment's workers.
 func (o *Operator) InForce(w *Workers) *Operator {
-	in, k := *o, o.knobs().InForce(sec(w.ReportS), sec(w.LeaseS))
-	in.HoldS, in.SilentReturnS = k.Hold.Seconds(), k.SilentReturn.Seconds()
+	in, k := *o, o.Knobs().InForce(Seconds(w.ReportS), Seconds(w.LeaseS))
+	in.HoldS, in.SilentReturnS, in.Frontier = k.Hold.Seconds(), k.SilentReturn.Seconds(), float64(k.Frontier)
 	return &in
 }
 
@@ -77,7 +78,7 @@
 		if err != nil {
 			panic("config: default of " + k.Key + " is no number")
 		}
-		k.set(o, v)
+		*k.field(o) = v
 	}
 	return o
 }
@@ -120,7 +121,7 @@
 				return nil, fmt.Errorf("operator settings: [%s] %s: %q is not a number from %g to %g",
 					k.Section, k.Key, key.Value(), k.Min, k.Max)
 			}
-			k.set(o, v)
+			*k.field(o) = v
 		}
 	}
 	return o, nil
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -281,7 +281,7 @@
 	var out []string
 	warn := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
 	enough := math.Ceil((w.LeaseS + wellAnswered + 2) / 0.99)
-	switch answer := core.AnswerFor(sec(w.LeaseS), sec(w.CancelS)).Seconds(); {
+	switch answer := core.AnswerFor(Seconds(w.LeaseS), Seconds(w.CancelS)).Seconds(); {
 	case answer <= 0:
 		warn("deployment.workers.cancel_s: with %g no worker can ever be answered, since its lease of %g s must be over by then; %g would do", w.CancelS, w.LeaseS, enough)
 	case answer < wellAnswered:
@@ -290,9 +290,9 @@
 	if w.ReportS > w.LeaseS/3 {
 		warn("deployment.workers.report_s: %g is more than a third of lease_s, %g: reports lost in a row cost a worker its lease", w.ReportS, w.LeaseS)
 	}
-	if found := o.knobs().TakenOverIn(sec(w.ReportS), sec(w.LeaseS)); found > sec(w.LeaseS) {
+	if found := o.Knobs().TakenOverIn(Seconds(w.ReportS), Seconds(w.LeaseS)); found > Seconds(w.LeaseS) {
 		warn("deployment.workers.lease_s: %g is less than the %.1f s in which workers find another controller when theirs ends, so its end costs running work", w.LeaseS, found.Seconds())
-	} else if found += sec(o.GraceS); found > sec(w.LeaseS) {
+	} else if found += Seconds(o.GraceS); found > Seconds(w.LeaseS) {
 		warn("[parts] grace_s: %g is too long: with it workers find another zone's controller in %.1f s, and lease_s is %g", o.GraceS, found.Seconds(), w.LeaseS)
 	}
 	return out
@@ -323,6 +323,7 @@
 	return out
 }
 
-func sec(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+// Seconds is a number of seconds, as both files have them, as a duration.
+func Seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 
 func bad(v float64) bool { return v < 0 || math.IsNaN(v) || math.IsInf(v, 0) }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,7 +13,6 @@
 	"runtime/debug"
 	"slices"
 	"strings"
-	"time"
 
 	"roadcleat/internal/agent"
 	"roadcleat/internal/api"
@@ -67,7 +66,7 @@
 	go peer.Serve(ctx, peerLn, labels, r.Deliver, log)
 	go r.Run(ctx)
 	log.Info("controller started", "label", s.Label, "zone", s.Location)
-	return api.New(r, seen, log).Serve(ctx, apiLn, b.served, duration(d.Workers.ReportS))
+	return api.New(r, seen, log).Serve(ctx, apiLn, b.served, config.Seconds(d.Workers.ReportS))
 }
 
 // sockets is how the sockets that this controller may have are divided.
@@ -111,19 +110,16 @@
 	return slog.LevelError
 }
 
-func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
-
 // CoreConfig turns the settings into the core's terms.
 func CoreConfig(s *config.Settings, o *config.Operator, boot uint64) core.Config {
 	d := &s.Deployment
-	sec := duration
+	sec := config.Seconds
 	cfg := core.Config{
 		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{}, Waits: map[string]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
 		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, Changes: d.State.WriteRPS, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
-		Knobs: core.Knobs{FetchSPerGB: o.FetchSPerGB, Frontier: o.Frontier, KeepIdle: sec(o.KeepIdleS), Window: sec(o.WindowS),
-			SpareShare: o.SpareShare, SilentReturn: sec(o.SilentReturnS), Hold: sec(o.HoldS), Grace: sec(o.GraceS)},
+		Knobs: o.Knobs(),
 	}
 	for _, other := range s.Others {
 		cfg.Peers = append(cfg.Peers, core.Peer{Label: other.Label, Zone: other.Location})
