Stories of users who look closely, ask oddly and meet the end of a job

The world learns close looks (all nodes within milliseconds, the submission repeated, some cancel at once) and odd requests (unfinished jobs again, whole and malformed, done jobs cancelled, nobody's jobs, jobs that fit nothing or lack a field). The referee judges jobs accepted that can't run or lack a field, valid ones refused, and a known job accepted anew.

--- /dev/null
+++ b/internal/fake/meet_users_test.go
@@ -0,0 +1,200 @@
+package fake
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// sets says whether a transaction gives a job the standing: nothing for unfinished.
+func sets(txn core.Txn, id, standing string) bool {
+	for _, s := range txn.Apply {
+		if s.Key == "job/"+id {
+			return strings.Contains(string(s.Value), `"st":"`) == (standing != "") &&
+				strings.Contains(string(s.Value), standing)
+		}
+	}
+	return false
+}
+
+// oddMoments are troubles that users ask and cancel through.
+var oddMoments = map[string]func(w *World){
+	"none":                  func(*World) {},
+	"owner restarts":        func(w *World) { w.Nodes[0].Restart(3 * time.Second) },
+	"owner back at once":    func(w *World) { w.Nodes[0].Restart(30 * time.Millisecond) },
+	"all restart":           func(w *World) { restartAll(w) },
+	"store refuses one":     func(w *World) { w.Store.Refuse("node-0", 20*time.Second) },
+	"one alone":             func(w *World) { w.Alone(w.Nodes[0], 15*time.Second, true) },
+	"one cut from peers":    func(w *World) { cutFromPeers(w, w.Nodes[0], 30*time.Second) },
+	"one stands still":      func(w *World) { w.Nodes[0].Freeze(6 * time.Second) },
+	"store away":            func(w *World) { w.Store.Outage(6 * time.Second) },
+	"one refused, then all": func(w *World) { w.Store.Refuse("node-1", 14*time.Second); w.Store.Outage(5 * time.Second) },
+}
+
+func restartAll(w *World) {
+	for i, n := range w.Nodes {
+		n.Restart(time.Duration(i*400) * time.Millisecond)
+	}
+}
+
+func cutFromPeers(w *World, n *Node, d time.Duration) {
+	for _, o := range w.Nodes {
+		if o != n {
+			w.Cut(n.Name, o.Name, d, false)
+		}
+	}
+}
+
+// throughOddMoments plays half a minute of short jobs with a trouble in the middle.
+func throughOddMoments(t *testing.T, users func(w *World), check func(t *testing.T, w *World)) {
+	seed := uint64(100)
+	for _, name := range sortedKeys(oddMoments) {
+		seed++
+		t.Run(name, func(t *testing.T) {
+			w := day(t, seed)
+			users(w)
+			for i := range 30 {
+				w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 1+i%3, 1), time.Duration(1+i%5)*time.Second)
+				w.Run(time.Second)
+				if i == 12 {
+					oddMoments[name](w)
+				}
+			}
+			for _, id := range sortedJobs(w.Jobs) {
+				if j := w.Jobs[id]; !j.Bad {
+					ends(t, w, j, 3*time.Minute)
+				} else {
+					assert.True(t, w.Until(time.Minute, func() bool { return j.Refused }), "%s is refused", id)
+				}
+			}
+			check(t, w)
+		})
+	}
+}
+
+func TestCloseLooksNeverGetAnOlderAnswer(t *testing.T) {
+	throughOddMoments(t, func(w *World) { w.CloseLooks(time.Minute, 0.3) }, func(t *testing.T, w *World) {
+		assert.Greater(t, w.Users.Looks, 500)
+		assert.Greater(t, w.Users.AtOnce, 3)
+	})
+}
+
+func TestOddRequestsAreAnsweredHonestlyInEveryTrouble(t *testing.T) {
+	throughOddMoments(t, func(w *World) { w.OddRequests(32 * time.Second) }, func(t *testing.T, w *World) {
+		for what, n := range map[string]int{"repeats": w.Users.Repeats, "cancelled after the end": w.Users.Stopped,
+			"nobody's jobs": w.Users.Nobodys, "bad ones": w.Users.Bad} {
+			assert.Greater(t, n, 4, what)
+		}
+	})
+}
+
+func TestOthersReadWhatATransactionWroteWhoseAnswerIsLost(t *testing.T) {
+	for _, standing := range []string{"", "withdrawn", "done"} {
+		t.Run("job "+standing, func(t *testing.T) {
+			w := day(t, 122)
+			lost := 0
+			w.Store.Lose = func(_ string, txn core.Txn) (bool, time.Duration) {
+				if lost > 0 || !sets(txn, "job-1", standing) {
+					return false, 0
+				}
+				lost++
+				w.Look(w.Jobs["job-1"], 40) // from this moment on, at all nodes
+				return true, 0
+			}
+			job := w.Submit(spec("job-1", "red", 2, 2), 5*time.Second)
+			if standing == "withdrawn" {
+				require.True(t, w.Until(time.Minute, started(w, "job-1", 2)))
+				w.Stop(job)
+			}
+			ends(t, w, job, time.Minute)
+			w.Run(time.Second)
+			assert.Equal(t, 1, lost)
+			assert.Greater(t, w.Users.Looks, 100)
+		})
+	}
+}
+
+func TestQuestionsMeetTheEndOfAJobsLastTask(t *testing.T) {
+	for seed := range uint64(6) {
+		w := day(t, 130+seed)
+		w.CloseLooks(2*time.Minute, 0)
+		job := w.Submit(spec("job-1", "red", 3, 2), 5*time.Second)
+		require.True(t, w.Until(time.Minute, func() bool { return len(job.Finished) == 2 || len(job.Finished) == 3 }))
+		var look func() // every 20 ms, over the end and the moment at which it is written
+		look = func() {
+			if w.Look(job, 1); !job.Over() {
+				w.After(20*time.Millisecond, look)
+			}
+		}
+		look()
+		ends(t, w, job, time.Minute)
+		assert.Greater(t, w.Users.Looks, 50)
+		w.Run(time.Second)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func TestTheRefereeSeesWrongAnswersToUsers(t *testing.T) {
+	w := New(1, Settings())
+	w.Jobs["job-1"] = &Job{Spec: spec("job-1", "red", 1, 1), Finished: map[int]bool{}}
+	w.Jobs["job-2"] = &Job{Spec: spec("job-2", "red", 1, 1), Finished: map[int]bool{}, Bad: true}
+	for _, c := range []struct {
+		id     string
+		status int
+		s      core.Standing
+		rule   string
+	}{
+		{"job-1", 404, 0, ""}, {"job-1", 503, 0, ""}, {"job-2", 400, 0, ""}, {"job-2", 422, 0, ""}, // as it should be
+		{"job-1", 400, 0, "refused: job-1"}, {"job-1", 422, 0, "refused: job-1"},
+		{"job-2", 201, 0, "bad_accepted: job-2"}, {"job-2", 200, 0, "bad_accepted: job-2"},
+		{"job-1", 201, 0, ""}, {"job-1", 201, 0, "went_back: job-1 was accepted"}, {"job-1", 200, core.Active, ""},
+		{"job-1", 422, 0, "forgotten: job-1"}, {"job-1", 404, 0, "forgotten: job-1"},
+	} {
+		w.Referee.Broken = nil
+		w.Referee.told(c.id, c.status, c.s, w.Referee.known(c.id))
+		got := strings.Join(w.Referee.Broken, "; ")
+		if c.rule == "" {
+			assert.Empty(t, got, "%v", c)
+		} else {
+			assert.Contains(t, got, c.rule, "%v", c)
+		}
+	}
+}
+
+func TestASubmissionRepeatedWhereTheJobIsNotKnownYetGetsItsState(t *testing.T) {
+	w := day(t, 140)
+	cutFromPeers(w, w.Nodes[0], 10*time.Minute)
+	met := 0
+	w.Store.Lose = func(node string, txn core.Txn) (bool, time.Duration) {
+		for _, g := range txn.Guards {
+			if node == "node-0" && len(txn.Apply) > 0 && g.Stamp == 0 && w.Store.rows[g.Key].stamp > 0 {
+				met++ // it is known already, and this one does not know it
+			}
+		}
+		return false, 0
+	}
+	for i := range 40 {
+		job := &Job{Spec: spec(fmt.Sprintf("job-%d", i), "red", 1, 1), Run: time.Minute, AskedStop: true,
+			Finished: map[int]bool{}, Saved: map[int]time.Duration{}}
+		w.Jobs[job.Spec.ID] = job
+		w.repeat(w.Nodes[1], job, func(int) {
+			w.user(w.Nodes[1], job.Spec.ID, func(req uint64) any { return core.Withdraw{Req: req, ID: job.Spec.ID} }, func(int) {
+				w.repeat(w.Nodes[0], job, func(int) {})
+			})
+		})
+		w.Run(513 * time.Millisecond)
+		assert.Equal(t, core.Withdrawn, job.Told)
+	}
+	assert.Greater(t, met, 3)
+}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -13,11 +13,13 @@
 	Spec      core.Spec
 	Run       time.Duration
 	Broken    bool // submitted with a mistake: it fails on every machine
+	Bad       bool // it can't run or lacks a field
+	looked    int  // how far its user has looked closely at it: accepted, over
 	Starts    int
 	Finished  map[int]bool
 	Saved     map[int]time.Duration // progress by task
 	Accepted  bool
-	Refused   bool // it can never run, the user was told
+	Refused   bool // it can't run or lacks a field, the user was told
 	Told      core.Standing
 	Cancelled time.Duration // when the user was told, 0: not
 	AskedStop bool
@@ -237,10 +239,19 @@
 		if before.accepted {
 			r.broken("forgotten", "%s is answered %d", id, status)
 		}
+		if status != 404 && !job.Bad && r.w.canRun(&job.Spec) {
+			r.broken("refused", "%s, which can run, is answered %d", id, status)
+		}
 		return
 	case status != 200 && status != 201:
 		return
 	}
+	if job.Bad || !r.w.canRun(&job.Spec) {
+		r.broken("bad_accepted", "%s is answered %d", id, status)
+	}
+	if status == 201 && before.accepted {
+		r.broken("went_back", "%s was accepted and is so anew", id)
+	}
 	job.Accepted, job.Answered = true, r.w.Now
 	over := before.told == core.Complete || before.told == core.Withdrawn
 	if over && s != before.told || s == core.Withdrawn && !job.AskedStop {
@@ -272,8 +283,11 @@
 	}, func(v any) {
 		rep, _ := v.(core.Reply)
 		w.Referee.told(id, rep.Status, rep.Run.Standing, before)
-		if job := w.Jobs[id]; job != nil && job.Told == core.Withdrawn && before.told != core.Withdrawn {
-			w.moment(Moment{Withdraw, After, n, nil, job})
+		if job := w.Jobs[id]; job != nil {
+			if job.Told == core.Withdrawn && before.told != core.Withdrawn {
+				w.moment(Moment{Withdraw, After, n, nil, job})
+			}
+			w.noticed(job)
 		}
 		then(rep.Status)
 	})
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -38,6 +38,7 @@
 	Lag time.Duration
 	// Overhear, if set, gets every message from one controller to another.
 	Overhear func(from, to string, m core.Message)
+	Users    Users // what users did beyond the ordinary
 	// Calm is when the last trouble is over; the referee asks more from then on.
 	Calm time.Duration
 	// OnMoment, if set, hears of every moment of the protocols' steps.
@@ -47,6 +48,7 @@
 	cancelEnds time.Duration // until then users call jobs off as they end
 	queue      eventQueue
 	seq        int
+	odd        int // submissions made that can't run or lack a field
 	cuts       map[[2]string]*cut
 }
 
