--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -532,7 +532,22 @@
 
 func seconds(d time.Duration) float64 { return d.Seconds() }
 
-func duration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// duration is some seconds, three years at most: sums of what users state must not
+// run over.
+func duration(s float64) time.Duration {
+	const most = 1e8
+	return time.Duration(min(max(s, -most), most) * float64(time.Second))
+}
+
+// count is a number of tasks as a whole number; what tiny amounts make of it must not
+// run over.
+func count(x float64) int {
+	const most = 1 << 30
+	if x < most {
+		return int(max(x, -most))
+	}
+	return most
+}
 
 // Healthy says whether this controller can take requests. When nobody reaches
 // the state service, it is as good as any: it answers what it knows and says
--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -86,7 +86,7 @@
 	for _, room := range left {
 		sum += max(room, 0)
 	}
-	return fit, int(sum / j.spec.Need.Cores)
+	return fit, count(sum / j.spec.Need.Cores)
 }
 
 // fillOn is what fillers may still take of a part's machines of a type, as its owner
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -312,7 +312,7 @@
 			}
 		}
 		want := short / float64(k)
-		if count := c.hire(p, o, int(math.Ceil(want-0.01))); count > 0 {
+		if count := c.hire(p, o, count(math.Ceil(want-0.01))); count > 0 {
 			coming[kind] += max(float64(count)-want, 0)
 		}
 		return
@@ -333,7 +333,7 @@
 	}
 	q := c.spotElsewhere(p, c.typesOf(j), j.spec.Priority)
 	if q != nil {
-		p.export[j.id] = export{q, int(math.Ceil(tasks))}
+		p.export[j.id] = export{q, count(math.Ceil(tasks))}
 	}
 	return q != nil
 }
@@ -378,7 +378,7 @@
 	n := 1 << 20
 	for _, x := range [][2]float64{{t.Cores, per.Cores}, {t.Cards, per.Cards}, {t.Mem, per.Mem}} {
 		if x[1] > 0 {
-			n = min(n, int((x[0]+1e-6)/x[1]))
+			n = min(n, count((x[0]+1e-6)/x[1]))
 		}
 	}
 	return n
@@ -398,7 +398,7 @@
 		if !o.Spot && c.spotElsewhere(p, types, priorities-1) != nil {
 			return
 		}
-		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
+		if n := count(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
 			c.hire(p, o, min(n, 4))
 			return
 		}
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -78,7 +78,7 @@
 			}
 		}
 		if fills && j.spec.Need.Cores > 0 {
-			fits = min(fits, int(fill/j.spec.Need.Cores))
+			fits = min(fits, count(fill/j.spec.Need.Cores))
 		}
 		if fits > most {
 			best, most = q, fits
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -64,7 +64,7 @@
 			left += a.Cores
 		}
 	}
-	if rest := n - int(math.Ceil(left/j.spec.Need.Cores)); rest > 0 {
+	if rest := n - count(math.Ceil(left/j.spec.Need.Cores)); rest > 0 {
 		s.leavesAt = 0
 		return rest
 	}
@@ -192,10 +192,10 @@
 	}
 	sum, mine, used := q.sum(), q.grants[p.name], p.used[team]
 	if need.Cores > 0 && lim.Cores > 0 {
-		n = min(n, int((mine.Cores+lim.Cores-sum.Cores-used.Cores+1e-6)/need.Cores))
+		n = min(n, count((mine.Cores+lim.Cores-sum.Cores-used.Cores+1e-6)/need.Cores))
 	}
 	if need.Cards > 0 && lim.Cards > 0 {
-		n = min(n, int((mine.Cards+lim.Cards-sum.Cards-used.Cards+1e-6)/need.Cards))
+		n = min(n, count((mine.Cards+lim.Cards-sum.Cards-used.Cards+1e-6)/need.Cards))
 	}
 	return max(n, 0)
 }
