Submissions: exact names, each field once, what allows nothing is refused

Went through every field's absence, null, type, range and contradiction. Wrong were: Breeds [] and Yard "" were taken for any, so tasks could start where their job allows none; names that differ in case only were taken for the protocol's, so an unknown field could have a job refused; a field given twice passed; OneZone with Apart, and Apart on types or sizes of one zone, were accepted though they contradict each other; a job too large for the state service's values was tried until its user gave up. A body that breaks off or is too large for a known job got 400, not its state: the id is now read as far as the body goes.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -112,7 +112,7 @@
 func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 	if err != nil {
-		http.Error(w, "body unreadable or too large", http.StatusBadRequest)
+		http.Error(w, "body unreadable or larger than 64 KiB", http.StatusBadRequest)
 	}
 	return b, err == nil
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"time"
 )
@@ -368,17 +369,29 @@
 	if lim.Cores > 0 && s.Need.Cores*times > lim.Cores+1e-6 || lim.Cards > 0 && s.Need.Cards*times > lim.Cards+1e-6 {
 		return "needs more than the team's limit"
 	}
-	if s.Zone != "" && s.Apart && s.Tasks > 1 {
-		return "tasks must be apart but only one zone is allowed"
+	if s.OneZone && s.Apart && s.Tasks > 1 {
+		return "OneZone and Apart: tasks can't be both in one zone and apart"
 	}
+	if value := (&job{spec: *s}).value(""); c.cfg.ValueBytes > 0 && len(value) > c.cfg.ValueBytes/4 {
+		return "names too long to be kept"
+	}
+	zones := map[string]bool{}
 	for i := range c.types {
 		t := &c.types[i]
-		if s.Need.plan().Within(t.Total.plan()) && (s.Zone == "" || contains(t.Zones, s.Zone)) &&
-			(len(s.Types) == 0 || contains(s.Types, t.Name)) {
-			return ""
+		if s.Need.plan().Within(t.Total.plan()) && (len(s.Types) == 0 || contains(s.Types, t.Name)) {
+			for _, z := range t.Zones {
+				zones[z] = zones[z] || s.Zone == "" || s.Zone == z
+			}
 		}
 	}
-	return "no allowed machine type holds a task"
+	maps.DeleteFunc(zones, func(_ string, allowed bool) bool { return !allowed })
+	switch {
+	case len(zones) == 0:
+		return "no allowed machine type holds a task in a zone that is allowed"
+	case len(zones) == 1 && s.Apart && s.Tasks > 1:
+		return "Apart: tasks must be apart but can run in one zone only"
+	}
+	return ""
 }
 
 func contains(list []string, s string) bool {
--- /dev/null
+++ b/internal/fake/input_test.go
@@ -0,0 +1,125 @@
+package fake
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// inputDay has two teams, of which the small one's limit is below a large machine, a
+// team without limits, and a type that one zone has alone.
+func inputDay(t *testing.T, seed uint64) *World {
+	cfg := Settings()
+	cfg.Teams = append(cfg.Teams, core.Team{Name: "tiny", Limit: core.Amount{Cores: 6}}, core.Team{Name: "free"})
+	w := New(seed, cfg)
+	w.Cloud.Types[1].Zones = []string{"b"}
+	w.Run(3 * time.Second)
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	return w
+}
+
+var impossible = map[string]func(s *core.Spec){
+	"unknown team":                 func(s *core.Spec) { s.Team = "green" },
+	"cores of no machine":          func(s *core.Spec) { s.Need.Cores, s.Team = 16.5, "red" },
+	"absurd cores":                 func(s *core.Spec) { s.Need.Cores, s.Team = 1e9, "free" },
+	"memory of no machine":         func(s *core.Spec) { s.Need.Mem = 65 },
+	"cards of no machine":          func(s *core.Spec) { s.Need.Cards = 1 },
+	"a fraction of a card":         func(s *core.Spec) { s.Need.Cards = 0.001 },
+	"memory with too few cores":    func(s *core.Spec) { s.Need.Mem, s.Types = 17, []string{"small"} },
+	"unknown type":                 func(s *core.Spec) { s.Types = []string{"huge"} },
+	"unknown zone":                 func(s *core.Spec) { s.Zone = "q" },
+	"a type that the zone has not": func(s *core.Spec) { s.Types, s.Zone = []string{"large"}, "a" },
+	"size that the zone has not":   func(s *core.Spec) { s.Need.Cores, s.Zone = 8, "a" },
+	"apart in one zone":            func(s *core.Spec) { s.Zone, s.Apart = "a", true },
+	"apart and in one zone":        func(s *core.Spec) { s.OneZone, s.Apart = true, true },
+	"apart on one zone's type":     func(s *core.Spec) { s.Types, s.Apart = []string{"large"}, true },
+	"apart and too large":          func(s *core.Spec) { s.Need.Cores, s.Apart = 8, true },
+	"a task over the limit":        func(s *core.Spec) { s.Team, s.Need.Cores = "tiny", 6.5 },
+	"a service over the limit":     func(s *core.Spec) { s.Service, s.Tasks, s.Need.Cores = true, 11, 4 },
+	"a gang over the limit":        func(s *core.Spec) { s.Gang, s.Tasks, s.Need.Cores = true, 11, 4 },
+	"a name too long to be kept":   func(s *core.Spec) { s.Image = strings.Repeat("x", 5000) },
+}
+
+var possible = map[string]func(s *core.Spec){
+	"apart, of one":               func(s *core.Spec) { s.Tasks, s.Apart, s.Zone = 1, true, "a" },
+	"apart and in one zone of 1":  func(s *core.Spec) { s.Tasks, s.Apart, s.OneZone = 1, true, true },
+	"apart on types of two zones": func(s *core.Spec) { s.Types, s.Apart = []string{"large", "small"}, true },
+	"unknown types beside one":    func(s *core.Spec) { s.Types = []string{"huge", "small"} },
+	"in one zone of its own":      func(s *core.Spec) { s.OneZone, s.Zone = true, "c" },
+	"an array over the limit":     func(s *core.Spec) { s.Tasks, s.Need.Cores = 12, 4 },
+	"a task as large as any":      func(s *core.Spec) { s.Team, s.Need = "free", core.Amount{Cores: 16, Mem: 64} },
+	"a task as large as the team": func(s *core.Spec) { s.Team, s.Need.Cores = "tiny", 6 },
+	"a gang as large as the team": func(s *core.Spec) { s.Team, s.Gang, s.Need.Cores = "tiny", true, 3 },
+	"no cores":                    func(s *core.Spec) { s.Need.Cores = 0 },
+	"nothing needed":              func(s *core.Spec) { s.Need = core.Amount{} },
+	"nothing needed, free":        func(s *core.Spec) { s.Team, s.Priority, s.Need = "free", 3, core.Amount{} },
+	"hardly anything needed":      func(s *core.Spec) { s.Need = core.Amount{Cores: 1e-300, Mem: 1e-300} },
+	"hardly anything, free":       func(s *core.Spec) { s.Team, s.Priority, s.Need.Cores = "free", 3, 1e-300 },
+	"estimate of a lifetime":      func(s *core.Spec) { s.Estimate, s.Deadline = 1e9, 1e9 },
+	"no estimate, due at once":    func(s *core.Spec) { s.Estimate, s.Deadline = 0, 1e-9 },
+	"saves for ever":              func(s *core.Spec) { s.Checkpoint, s.Save = 1e9, 1e9 },
+	"no names":                    func(s *core.Spec) { s.Class, s.Image, s.ImageGB = "", "", 0 },
+}
+
+func TestWhatCanNeverRunIsRefusedAndWhatCanRunIsNot(t *testing.T) {
+	w := inputDay(t, 150)
+	n := 0
+	next := func(change func(s *core.Spec)) core.Spec {
+		n++
+		s := spec(fmt.Sprintf("job-%d", n), "red", 2, 1)
+		change(&s)
+		return s
+	}
+	for _, name := range sortedKeys(impossible) {
+		s := next(impossible[name])
+		status, why := 0, ""
+		w.Nodes[n%3].ask(func(req uint64) any { return core.Submit{Req: req, Spec: s} }, func(v any) {
+			status, why = v.(core.Reply).Status, v.(core.Reply).Why
+		})
+		w.Run(100 * time.Millisecond)
+		assert.Equal(t, 422, status, name)
+		assert.NotEmpty(t, why, name)
+	}
+	jobs := map[string]*Job{}
+	for _, name := range sortedKeys(possible) {
+		jobs[name] = w.Submit(next(possible[name]), 2*time.Second)
+	}
+	for name, job := range jobs {
+		assert.True(t, w.Until(4*time.Minute, job.Over), name)
+	}
+}
+
+func TestBadSubmissionsKeepTheirAnswerInEveryTrouble(t *testing.T) {
+	for i, name := range sortedKeys(oddMoments) {
+		t.Run(name, func(t *testing.T) {
+			w := inputDay(t, 160+uint64(i))
+			known := w.Submit(spec("job-1", "red", 1, 1), 10*time.Minute)
+			require.True(t, w.Until(time.Minute, started(w, "job-1", 1)))
+			oddMoments[name](w)
+			var bad []*Job
+			for k, field := range needed {
+				s := spec(fmt.Sprintf("job-%d", 100+k), "red", 1, 1)
+				bad = append(bad, w.SubmitBad(s, without(s, field)))
+				// The same of a job that is known gets its state.
+				w.send(w.Nodes[k%3], "job-1", without(known.Spec, field), func(status int) {
+					if status == 200 {
+						w.Users.Repeats++
+					}
+				})
+				w.Run(400 * time.Millisecond)
+			}
+			for _, job := range bad {
+				assert.True(t, w.Until(30*time.Second, func() bool { return job.Refused }), job.Spec.ID)
+			}
+			assert.Positive(t, w.Users.Repeats)
+			w.Stop(known)
+			ends(t, w, known, time.Minute)
+		})
+	}
+}
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,29 +24,6 @@
 // ValidRef says whether s has the form of a job id.
 func ValidRef(s string) bool { return refForm.MatchString(s) }
 
-type run struct {
-	Ref       *string
-	Docket    *string
-	Desk      *string
-	Form      *string
-	Urgency   *string
-	Sheets    *int
-	Cores     *float64
-	Cards     *float64
-	MemGb     *float64
-	Build     *string
-	PullGb    *float64
-	Breeds    []string
-	Yard      *string
-	OneZone   *bool
-	Apart     *bool
-	Loaners   *bool
-	ExpectedS *float64
-	BookmarkS *float64
-	StowS     *float64
-	DueS      *float64
-}
-
 var urgencies = map[string]int{"production": 0, "high": 1, "normal": 2, "low": 3}
 
 const (
@@ -56,81 +34,128 @@
 	maxAmount  = 1e9
 )
 
-// DecodeRun reads a submission. When the body is malformed the error says how,
-// and the spec still carries the job's id if that much could be read.
+// DecodeRun reads a submission. When the body is malformed the error names the field
+// and what is wrong with it, and the spec still carries the job's id if that much could
+// be read: the job may be known.
 func DecodeRun(body []byte) (core.Spec, error) {
 	var spec core.Spec
-	var ref struct{ Ref *string }
-	_ = json.Unmarshal(body, &ref) // an error here comes up again below
-	if ref.Ref != nil && ValidRef(*ref.Ref) {
-		spec.ID = *ref.Ref
-	}
-	if t := bytes.TrimSpace(body); len(t) == 0 || t[0] != '{' {
-		return spec, fmt.Errorf("not a JSON object")
+	m, err := members(body)
+	if ref := ""; json.Unmarshal(m["Ref"], &ref) == nil && ValidRef(ref) {
+		spec.ID = ref
 	}
-	var r run
-	if err := json.Unmarshal(body, &r); err != nil {
-		return spec, fmt.Errorf("malformed: %w", err)
+	if err != nil {
+		return spec, err
 	}
 	if spec.ID == "" {
 		return spec, fmt.Errorf("Ref: missing or of a wrong form")
 	}
+	var form, urgency string
 	for _, f := range []struct {
 		name string
-		have bool
+		to   any
 	}{
-		{"Docket", r.Docket != nil}, {"Desk", r.Desk != nil}, {"Form", r.Form != nil}, {"Urgency", r.Urgency != nil},
-		{"Sheets", r.Sheets != nil}, {"Build", r.Build != nil}, {"OneZone", r.OneZone != nil},
-		{"Apart", r.Apart != nil}, {"Loaners", r.Loaners != nil},
+		{"Docket", &spec.Class}, {"Desk", &spec.Team}, {"Form", &form}, {"Urgency", &urgency}, {"Sheets", &spec.Tasks},
+		{"Cores", &spec.Need.Cores}, {"Cards", &spec.Need.Cards}, {"MemGb", &spec.Need.Mem}, {"Build", &spec.Image},
+		{"PullGb", &spec.ImageGB}, {"OneZone", &spec.OneZone}, {"Apart", &spec.Apart}, {"Loaners", &spec.Spot},
+		{"ExpectedS", &spec.Estimate}, {"BookmarkS", &spec.Checkpoint}, {"StowS", &spec.Save},
 	} {
-		if !f.have {
+		if absent(m[f.name]) {
 			return spec, fmt.Errorf("%s: missing", f.name)
 		}
+		if err := value(f.name, m[f.name], f.to); err != nil {
+			return spec, err
+		}
 	}
 	for _, f := range []struct {
 		name string
-		v    *float64
-		to   *float64
-	}{
-		{"Cores", r.Cores, &spec.Need.Cores}, {"Cards", r.Cards, &spec.Need.Cards}, {"MemGb", r.MemGb, &spec.Need.Mem},
-		{"PullGb", r.PullGb, &spec.ImageGB}, {"ExpectedS", r.ExpectedS, &spec.Estimate},
-		{"BookmarkS", r.BookmarkS, &spec.Checkpoint}, {"StowS", r.StowS, &spec.Save},
-	} {
-		if f.v == nil {
-			return spec, fmt.Errorf("%s: missing", f.name)
-		}
-		if badAmount(*f.v) {
-			return spec, fmt.Errorf("%s: not an amount", f.name)
+		to   any
+	}{{"Breeds", &spec.Types}, {"Yard", &spec.Zone}, {"DueS", &spec.Deadline}} {
+		if absent(m[f.name]) {
+			continue
 		}
-		*f.to = *f.v
-	}
-	if r.DueS != nil {
-		if badAmount(*r.DueS) {
-			return spec, fmt.Errorf("DueS: not an amount")
+		if err := value(f.name, m[f.name], f.to); err != nil {
+			return spec, err
 		}
-		spec.Deadline = *r.DueS
 	}
-	prio, ok := urgencies[*r.Urgency]
+	prio, known := urgencies[urgency]
 	switch {
-	case !ok:
+	case !known:
 		return spec, fmt.Errorf("Urgency: unknown value")
-	case *r.Form != formArray && *r.Form != formDaemon && *r.Form != formGang:
+	case form != formArray && form != formDaemon && form != formGang:
 		return spec, fmt.Errorf("Form: unknown value")
-	case *r.Sheets < 1 || *r.Sheets > maxTasks:
+	case spec.Tasks < 1 || spec.Tasks > maxTasks:
 		return spec, fmt.Errorf("Sheets: must be from 1 to %d", maxTasks)
-	case *r.Desk == "":
+	case spec.Team == "":
 		return spec, fmt.Errorf("Desk: empty")
+	// What the core takes for any type or zone would be none of the user's.
+	case !absent(m["Breeds"]) && (len(spec.Types) == 0 || slices.Contains(spec.Types, "")):
+		return spec, fmt.Errorf("Breeds: must name types, or be null for any")
+	case !absent(m["Yard"]) && spec.Zone == "":
+		return spec, fmt.Errorf("Yard: must name a zone, or be null for any")
 	}
-	spec.Class, spec.Team, spec.Service, spec.Priority = *r.Docket, *r.Desk, *r.Form == formDaemon, prio
-	spec.Gang = *r.Form == formGang
-	spec.Tasks, spec.Types, spec.Image = *r.Sheets, r.Breeds, *r.Build
-	spec.OneZone, spec.Apart, spec.Spot = *r.OneZone, *r.Apart, *r.Loaners
-	if r.Yard != nil {
-		spec.Zone = *r.Yard
-	}
+	spec.Service, spec.Gang, spec.Priority = form == formDaemon, form == formGang, prio
 	return spec, nil
 }
 
+// members reads the fields of the object that a body is, by their exact names. What
+// comes before a fault is returned with the error.
+func members(body []byte) (map[string]json.RawMessage, error) {
+	m := map[string]json.RawMessage{}
+	if t := bytes.TrimSpace(body); len(t) == 0 || t[0] != '{' {
+		return m, fmt.Errorf("not a JSON object")
+	}
+	var whole json.RawMessage
+	err := json.Unmarshal(body, &whole)
+	if err != nil {
+		err = fmt.Errorf("malformed: %w", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	for tok, bad := d.Token(); bad == nil && d.More(); {
+		var raw json.RawMessage
+		if tok, bad = d.Token(); bad != nil {
+			break
+		}
+		name, ok := tok.(string)
+		if bad = d.Decode(&raw); !ok || bad != nil {
+			break
+		}
+		if _, again := m[name]; again && protocolField[name] && err == nil {
+			err = fmt.Errorf("%s: given twice", name)
+		} else if !again {
+			m[name] = raw
+		}
+	}
+	return m, err
+}
+
+// protocolField says which fields the protocol knows; all others are ignored.
+var protocolField = map[string]bool{"Ref": true, "Docket": true, "Desk": true, "Form": true, "Urgency": true, "Sheets": true,
+	"Cores": true, "Cards": true, "MemGb": true, "Build": true, "PullGb": true, "Breeds": true, "Yard": true, "OneZone": true,
+	"Apart": true, "Loaners": true, "ExpectedS": true, "BookmarkS": true, "StowS": true, "DueS": true}
+
+// absent says whether a field is missing, or null, which is the same.
+func absent(raw json.RawMessage) bool { return raw == nil || string(raw) == "null" }
+
+// value reads a field's value.
+func value(name string, raw json.RawMessage, to any) error {
+	what := "true or false"
+	switch to.(type) {
+	case *string:
+		what = "a string"
+	case *[]string:
+		what = "a list of strings"
+	case *int:
+		what = "a whole number"
+	case *float64:
+		what = "an amount from 0 to 1e9"
+	}
+	err := json.Unmarshal(raw, to)
+	if v, ok := to.(*float64); err != nil || ok && badAmount(*v) {
+		return fmt.Errorf("%s: not %s", name, what)
+	}
+	return nil
+}
+
 func badAmount(v float64) bool { return math.IsNaN(v) || v < 0 || v > maxAmount }
 
 type standing struct {
