--- a/internal/fake/meet_users_test.go
+++ b/internal/fake/meet_users_test.go
@@ -198,3 +198,59 @@
 	}
 	assert.Greater(t, met, 3)
 }
+
+func TestAJobIsNotDoneWhileItsTasksMoveBetweenTwoLooks(t *testing.T) {
+	for seed := range uint64(8) { // whether the owner of a hears of the move before it writes
+		moveBetweenTwoLooks(t, 141+seed)
+	}
+}
+
+func moveBetweenTwoLooks(t *testing.T, seed uint64) {
+	// The owner of a complete slice looks at the others: at b's, which is complete, and
+	// then at c's, which is complete because its last task has just gone to b.
+	w := day(t, seed)
+	clear(w.Cloud.Room)
+	for i, zone := range w.Cfg.Zones { // a machine in each zone and no more
+		w.Cloud.Room[roomKey("small", zone, true)] = 1
+		s := spec(fmt.Sprintf("job-%d", 10+i), "red", 1, 4)
+		s.Zone = zone
+		ends(t, w, w.Submit(s, time.Second), time.Minute)
+	}
+	w.Workers[workersOf(w, "a")[0]].Slow = 6 // a's task ends last
+	job := w.Submit(spec("job-1", "red", 6, 4), 8*time.Second)
+	c := w.Workers[workersOf(w, "c")[0]]
+	require.True(t, w.Until(time.Minute, func() bool { // c has done one and is at another
+		return strings.Contains(string(w.Store.rows["slice/c/job-1"].value), `"d":`) && w.On("job-1")[c] > 0
+	}))
+	w.Run(2 * time.Second)
+	c.Die()
+	w.Cloud.Room[roomKey("small", "c", true)] = -1 // nor is there another once it is returned
+	var held *core.Txn                             // the move, which is on its way until the owner of a looks
+	w.Store.Lose = func(_ string, txn core.Txn) (bool, time.Duration) {
+		if len(txn.Apply) != 3 || txn.Apply[0].Key != "slice/c/job-1" {
+			return false, 0
+		}
+		if txn.Apply[1].Key == "slice/b/job-1" {
+			held = &txn
+		}
+		return true, time.Hour // to a none gets at all
+	}
+	moved := false
+	w.Store.SlowRead = func(node, key string) time.Duration {
+		if node != "node-0" || key != "slice/c/job-1" || held == nil || moved {
+			return 0
+		}
+		w.After(19999*time.Microsecond, func() {
+			for i, g := range held.Guards { // as the owner of c would send it now
+				held.Guards[i].Stamp = w.Store.rows[g.Key].stamp
+			}
+			if moved = w.Store.apply(*held).Outcome == core.OK; moved {
+				w.Store.Lose = nil
+			}
+		})
+		return 20 * time.Millisecond
+	}
+	require.True(t, w.Until(3*time.Minute, func() bool { return moved }), "it moves while the owner of a looks")
+	require.Len(t, job.Finished, 5)
+	ends(t, w, job, 3*time.Minute)
+}
--- a/internal/fake/services.go
+++ b/internal/fake/services.go
@@ -37,6 +37,8 @@
 	// Lose, if set, is asked for each transaction: its reply may be lost, and
 	// it may be applied only after a while.
 	Lose func(node string, t core.Txn) (lost bool, late time.Duration)
+	// SlowRead, if set, says how much later than usual a read is carried out.
+	SlowRead func(node, key string) time.Duration
 	// Carried are told of each transaction that was carried out or refused.
 	Carried []func(node string, t core.Txn, res core.CommitResult)
 	late    lateWrites
@@ -231,6 +233,16 @@
 }
 
 func (s *Store) read(node, key string, answer func(any)) {
+	if s.SlowRead != nil {
+		if d := s.SlowRead(node, key); d > 0 {
+			s.w.After(d, func() { s.readNow(node, key, answer) })
+			return
+		}
+	}
+	s.readNow(node, key, answer)
+}
+
+func (s *Store) readNow(node, key string, answer func(any)) {
 	if s.away(node) {
 		answer(core.ReadResult{Outcome: core.NotSent})
 		return
@@ -355,7 +367,7 @@
 	}
 	k := roomKey(op.Type, op.Zone, op.Spot)
 	n := min(op.Number, c.Room[k])
-	if n == 0 {
+	if n <= 0 {
 		return core.HireResult{Outcome: core.Refused}
 	}
 	c.Room[k] -= n
