Placed tasks are grouped by machine in a slice's value: four times as many in 4 KiB

A slice's value had an entry for each placed task, 64 bytes reckoned. With values of 4 KiB a part could have 64 tasks of a job placed at a time; arrays of 50 to 200 waited for their own tasks to end, with machines free.

Placed tasks are now grouped by machine, as runs of tasks that follow one another and whose attempts do, and a plan gives a machine tasks that follow one another. How many more may be placed is reckoned from the worst that can become of those that are, so no value outgrows the limit however its tasks end; a move that would make the other slice's do so does not take place. Both forms are read; the new one is written only while all other controllers say that they read it. A process that knows only the older one finds an object where it wants a list and refuses. A part that holds a slice which can't be read is not served: such a slice was taken for empty, and its tasks halted.

One story looked for a placement by a string that every accepted job of some parts has too, and so ended its controller at the acceptance instead; it and another now read the value, in either form.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -388,6 +388,7 @@
 	Echo      map[string]uint64 // the newest Seq heard of each other controller
 	Withdrawn []Item            // withdrawals the sender learned of lately and the receiver may not have heard of
 	StoreOK   bool
+	Reads     int   // the newest form of the store's values that the sender reads
 	Wants     Share // what it asked of the state service lately, a second
 	Parts     []PartView
 	Heard     map[string]int // workers of parts not its own heard lately
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -147,7 +147,7 @@
 		return plain(LaunchRefused)
 	case j.spec.Gang && len(s.tasks) > 0:
 		return plain(GangLeaving)
-	case len(s.tasks) >= c.placedAtOnce():
+	case c.ledgerOf(s).most(c.perHost(j), p.longestName()) == 0:
 		return RecordFull, fmt.Sprintf("%s (%d)", RecordFull, len(s.tasks))
 	case c.dark(p):
 		return plain(PartDark)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -16,6 +16,7 @@
 	born     uint64 // order of arrival
 	split    map[string]ranges
 	moves    int
+	bytes    int           // the most it takes in a slice's value, 0: not reckoned yet
 	since    time.Duration // when it became known here
 	team     int
 	class    int
@@ -92,7 +93,7 @@
 			c.sawClass(j)
 		}
 	}
-	j.stamp, j.split, j.moves = stamp, v.Split, v.Moves
+	j.stamp, j.split, j.moves, j.bytes = stamp, v.Split, v.Moves, 0
 	for _, zone := range sorted(v.Split) {
 		r := v.Split[zone]
 		z := c.zones.known(zone)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -141,19 +141,23 @@
 		split := maps.Clone(j.split)
 		split[to.name] = nil
 		for _, i := range ids {
-			s.waiting.remove(i)
 			v.Waiting.add(i)
 		}
 		v.Next = max(v.Next, s.next) // an attempt is never given out twice
 		moved := *j
 		moved.split, moved.moves = split, j.moves+1
+		if !c.holdsMoved(&moved, &v) {
+			return
+		}
+		for _, i := range ids {
+			s.waiting.remove(i)
+		}
 		empty := s.complete() && len(s.done) == 0
 		if empty {
 			delete(split, p.name)
 		}
 		v.Job, v.Stamp = moved.stored(""), 0
-		theirs, _ := json.Marshal(v)
-		mineValue := s.valueWith(&moved, 0)
+		theirs, mineValue := c.encodeSlice(&v), c.encodeSlice(s.valueOf(&moved, 0))
 		if empty {
 			mineValue = nil
 		}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -424,15 +424,26 @@
 		if !valid() {
 			return
 		}
-		res := r.(ListResult)
-		if res.Outcome != OK {
-			c.after(300*time.Millisecond, func() {
+		again := func(d time.Duration) {
+			c.after(d, func() {
 				if valid() {
 					p.loading = false
 				}
 			})
+		}
+		res := r.(ListResult)
+		if res.Outcome != OK {
+			again(300 * time.Millisecond)
 			return
 		}
+		for _, it := range res.Items {
+			// Taken for empty, its tasks would count for nobody and start again.
+			if json.Unmarshal(it.Value, &sliceValue{}) != nil {
+				c.note(2, "slice unreadable, part not served", "key", it.Key, "part", p.name, "token", p.token)
+				again(5 * time.Second)
+				return
+			}
+		}
 		left := len(res.Items)
 		done := func() {
 			if left--; left > 0 {
@@ -455,7 +466,7 @@
 			id := it.Key[strings.LastIndexByte(it.Key, '/')+1:]
 			items[id] = it
 			var v sliceValue
-			if json.Unmarshal(it.Value, &v) != nil || v.Job == nil {
+			if _ = json.Unmarshal(it.Value, &v); v.Job == nil {
 				unknown = append(unknown, id)
 				continue
 			}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -135,7 +135,7 @@
 	c.gossipSeq++
 	c.sentAt[c.gossipSeq] = c.now
 	delete(c.sentAt, c.gossipSeq-120)
-	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, StoreOK: c.storeWell(), Wants: c.wants, Heard: map[string]int{}, CutOff: c.now < c.cutOffUntil}
+	g := &Gossip{Seq: c.gossipSeq, Echo: map[string]uint64{}, StoreOK: c.storeWell(), Reads: formGrouped, Wants: c.wants, Heard: map[string]int{}, CutOff: c.now < c.cutOffUntil}
 	for zone, hosts := range c.heard {
 		for name, at := range hosts {
 			if c.now > at+6*time.Second {
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -402,6 +402,7 @@
 	looks, tasks := len(devices), 0
 	var left []float64   // for fillers, by pool
 	var yielding []*host // with fillers that may be stopped
+	longest := p.longestName()
 	for _, s := range ready {
 		j := s.job
 		waiting, room := c.startable(s), c.room(p, j.team, j.spec.Need)
@@ -409,7 +410,8 @@
 		if room < waiting && c.quotas[j.team].known {
 			c.wantGrants(s)
 		}
-		most := max(c.placedAtOnce()-len(s.tasks), 0)
+		fits := c.ledgerOf(s)
+		most := fits.most(c.perHost(j), longest)
 		n := min(waiting, quota, most, 256)
 		if c.now < j.holdTo || waiting == 0 {
 			continue
@@ -482,8 +484,15 @@
 		if j.spec.Gang && n > 0 {
 			s.next++ // the tasks of a gang know each other by their common attempt
 		}
+		// Tasks that follow one another on a machine are one entry of the value.
+		slices.SortStableFunc(starts, func(a, b plan.Placement) int { return cmp.Compare(a.Device, b.Device) })
 		for k, i := range s.waiting.first(len(starts)) {
-			c.place(p, s, i, all[starts[k].Device].host)
+			h := all[starts[k].Device].host
+			if !fits.take(h.name) {
+				starts = starts[:k]
+				break
+			}
+			c.place(p, s, i, h)
 		}
 		late := min(waiting, quota, most) - len(starts)
 		s.making = s.making[min(len(starts), len(s.making)):]
@@ -512,10 +521,6 @@
 	return time.Duration(looks)*pausePerLook + time.Duration(tasks)*pausePerPlace
 }
 
-// placedAtOnce is how many tasks of a slice may be placed at a time: they are listed
-// one by one in its value.
-func (c *Core) placedAtOnce() int { return c.cfg.ValueBytes / 64 }
-
 // allNow says whether every task of a gang can start now.
 func (c *Core) allNow(starts []plan.Placement, n int, all []device) bool {
 	for _, pl := range starts {
@@ -705,7 +710,7 @@
 		if spec.Apart {
 			most = (spec.Tasks + 1) / 2
 		}
-		c.spreadOver(step, spec.Tasks, most, byZone, counts, now)
+		c.spreadOver(step, spec.Tasks, most, c.placedAtOnce(j), byZone, counts, now)
 		if spec.Tasks <= oneSlice && !spec.Apart {
 			together(counts)
 		}
@@ -804,7 +809,7 @@
 	return best
 }
 
-func (c *Core) spreadOver(step *plan.Step, n, most int, byZone [][]device, counts []int, now float64) {
+func (c *Core) spreadOver(step *plan.Step, n, most, at int, byZone [][]device, counts []int, now float64) {
 	open := make([]bool, len(byZone))
 	for z := range byZone {
 		open[z] = len(byZone[z]) > 0
@@ -836,7 +841,7 @@
 	// The rest of a large job in the same proportions, within the limit, as long as a
 	// part can have that many placed at a time; what is beyond it would only wait there
 	// and goes to all parts.
-	dealt, at := n-left, c.placedAtOnce()
+	dealt := n - left
 	for z := range counts {
 		if dealt > 0 && left > 0 && counts[z] > 0 {
 			more := min(left, (n-dealt)*counts[z]/dealt, most-counts[z], max(at-counts[z], 0))
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -37,10 +37,10 @@
 // sliceValue is a slice as the state service holds it: every task of it is
 // waiting, done or placed.
 type sliceValue struct {
-	Waiting ranges   `json:"w,omitempty"`
-	Done    ranges   `json:"d,omitempty"`
-	Placed  []placed `json:"p,omitempty"`
-	Next    uint64   `json:"n,omitempty"`
+	Waiting ranges      `json:"w,omitempty"`
+	Done    ranges      `json:"d,omitempty"`
+	Placed  placedTasks `json:"p,omitempty"`
+	Next    uint64      `json:"n,omitempty"`
 	// The job as it was when the slice was written, and its stamp; without one,
 	// both keys were written by the same transaction. A new owner then only has
 	// to compare stamps, many at a time, where it would have to read every job.
@@ -51,12 +51,6 @@
 	Doubt int `json:"f,omitempty"`
 }
 
-type placed struct {
-	Index   int    `json:"i"`
-	Host    string `json:"h"`
-	Attempt uint64 `json:"a"`
-}
-
 func sliceKey(zone, job string) string { return "slice/" + zone + "/" + job }
 
 func (s *slice) complete() bool { return len(s.waiting) == 0 && len(s.tasks) == 0 }
@@ -71,16 +65,14 @@
 	return n
 }
 
-func (s *slice) value() []byte { return s.valueWith(s.job, s.job.stamp) }
-
-func (s *slice) valueWith(j *job, stamp uint64) []byte {
-	v := sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next, Job: j.stored(""), Stamp: stamp, Doubt: s.job.doubt}
+// valueOf is what a slice is for the store, its job being as given.
+func (s *slice) valueOf(j *job, stamp uint64) *sliceValue {
+	v := &sliceValue{Waiting: s.waiting, Done: s.done, Next: s.next, Job: j.stored(""), Stamp: stamp, Doubt: s.job.doubt}
 	for _, i := range sorted(s.tasks) {
 		t := s.tasks[i]
 		v.Placed = append(v.Placed, placed{i, t.host.name, t.attempt})
 	}
-	b, _ := json.Marshal(v)
-	return b
+	return v
 }
 
 // adoptSlice takes a slice that this controller has no memory of.
@@ -548,7 +540,7 @@
 			}
 		}
 	}
-	value := s.value()
+	value := c.encodeSlice(s.valueOf(s.job, s.job.stamp))
 	w.txn.Apply = append(w.txn.Apply, Set{Key: key, Value: value})
 	w.slices[id] = s
 	w.settled[s] = maps.Clone(s.settled)
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -225,7 +225,7 @@
 // isPlacement says whether a transaction places tasks of the job.
 func isPlacement(txn core.Txn, id string) bool {
 	for _, s := range txn.Apply {
-		if strings.HasPrefix(s.Key, "slice/") && strings.HasSuffix(s.Key, "/"+id) && strings.Contains(string(s.Value), `"p":[{`) {
+		if places(s) && strings.HasSuffix(s.Key, "/"+id) {
 			return true
 		}
 	}
@@ -268,7 +268,7 @@
 		}
 	})
 	require.True(g.t, g.Until(time.Second, job.Over), "cancelled while the owner waits for that answer")
-	require.Contains(g.t, string(g.Store.rows["slice/a/job-3"].value), `"p":[{`, "placed all the same")
+	require.NotEmpty(g.t, placedIn(g.Store.rows["slice/a/job-3"].value), "placed all the same")
 	return job
 }
 
@@ -450,11 +450,11 @@
 	g.gone()
 }
 
-// wire counts what gob makes of messages.
-type wire int
+// counted counts what gob makes of messages.
+type counted int
 
-func (n *wire) Write(b []byte) (int, error) {
-	*n += wire(len(b))
+func (n *counted) Write(b []byte) (int, error) {
+	*n += counted(len(b))
 	return len(b), nil
 }
 
@@ -468,7 +468,7 @@
 	}
 	w.Run(5 * time.Second)
 	var repeated, told int
-	var all, withdrawals wire
+	var all, withdrawals counted
 	allSent, withdrawalsSent := gob.NewEncoder(&all), gob.NewEncoder(&withdrawals)
 	w.Overhear = func(from, to string, m core.Message) {
 		if m.Gossip == nil {
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -86,8 +86,7 @@
 	crashed := ""
 	w.Store.Lose = func(node string, txn core.Txn) (bool, time.Duration) {
 		for _, s := range txn.Apply {
-			if crashed == "" && strings.HasPrefix(s.Key, "slice/") && strings.Contains(string(s.Value), `"p":`) &&
-				strings.HasSuffix(s.Key, "job-2") {
+			if crashed == "" && places(s) && strings.HasSuffix(s.Key, "job-2") {
 				// The placement becomes durable, but its owner dies before it hears of it.
 				crashed = node
 				for _, n := range w.Nodes {
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -225,7 +225,7 @@
 					case step == "claim" && strings.HasPrefix(s.Key, "part/") && s.Value != nil,
 						step == "handover" && strings.HasPrefix(s.Key, "part/") && s.Value == nil,
 						step == "acceptance" && strings.HasPrefix(s.Key, "job/"),
-						step == "placement" && strings.Contains(string(s.Value), `"p":[{`):
+						step == "placement" && places(s):
 						return true
 					}
 				}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,8 @@
 	// Overhear, if set, gets every message from one controller to another.
 	Overhear func(from, to string, m core.Message)
 	Users    Users // what users did beyond the ordinary
+	// Tells, if set, may change what a controller says to another on its way out.
+	Tells func(n *Node, m core.Message) core.Message
 	// Calm is when the last trouble is over; the referee asks more from then on.
 	Calm time.Duration
 	// OnMoment, if set, hears of every moment of the protocols' steps.
@@ -383,6 +385,9 @@
 		n.w.Overhear(n.Name, to.Name, t.Message)
 	}
 	life := to.life
+	if n.w.Tells != nil {
+		t.Message = n.w.Tells(n, t.Message)
+	}
 	n.w.packet(n.Name, to.Name, func() {
 		if to.up && to.life == life {
 			to.handle(core.PeerMessage{From: from, Message: t.Message})
