Sums over a machine's tasks do not depend on a map's order

The same script gave logs that differed in the last digit of what a machine had run and held, and a part's word of how long its machines are in use could differ likewise. Both now add up what adds up to the same in any order; scripts then gave the same log line by line.

--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -247,13 +247,16 @@
 	if dt > 5 {
 		return // the first time
 	}
+	ran, held := 0.0, 0.0 // whole cores add up to the same in any order
 	for _, t := range h.tasks {
 		if t.state == Running {
-			h.ran += t.need.Cores * dt
+			ran += t.need.Cores
 		} else {
-			h.held += t.need.Cores * dt
+			held += t.need.Cores
 		}
 	}
+	h.ran += ran * dt
+	h.held += held * dt
 }
 
 func (c *Core) typeName(h *host) string {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -238,17 +238,18 @@
 		} else {
 			ofType[h.typ]++
 		}
-		// One use stands for all: it ends when their mean does, by cores.
+		// One use stands for all: it ends when their mean does, by cores. Whole
+		// milliseconds add up to the same in any order.
 		sum := 0.0
 		for _, t := range h.tasks {
 			if c.yields(t) {
 				continue // it gives way to what is dealt here
 			}
 			g.Used = g.Used.plus(t.need, 1)
-			sum += seconds(c.expectedEnd(t)-c.now) * t.need.Cores
+			sum += float64((c.expectedEnd(t)-c.now)/time.Millisecond) * t.need.Cores
 		}
 		if g.Used.Cores > 0 {
-			g.For = roughly(sum / g.Used.Cores)
+			g.For = roughly(sum / 1000 / g.Used.Cores)
 		}
 		for img := range h.images {
 			held[[2]int{img, h.typ}]++
