--- /dev/null
+++ b/cmd/search/root.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"roadcleat/internal/fake"
+)
+
+// Exit statuses: nothing wrong, a rule broken, bad usage, interrupted with nothing wrong
+// so far.
+const (
+	exitClean       = 0
+	exitBroken      = 1
+	exitUsage       = 2
+	exitInterrupted = 130
+)
+
+var (
+	errBroken      = errors.New("a rule was broken")
+	errInterrupted = errors.New("interrupted")
+)
+
+// execute runs the command line and returns the exit status.
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	switch {
+	case err == nil:
+		return exitClean
+	case errors.Is(err, errBroken):
+		return exitBroken
+	case errors.Is(err, errInterrupted):
+		return exitInterrupted
+	}
+	fmt.Fprintln(stderr, "search:", err)
+	return exitUsage
+}
+
+func newRoot() *cobra.Command {
+	s := &search{play: func(s fake.Script) fake.Verdict { return s.Play(nil) }}
+	root := &cobra.Command{Use: "search", Short: "Looks for days on which a rule is broken", SilenceUsage: true, SilenceErrors: true,
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("walk, random or replay?") }}
+	var occurrences int
+	walk := &cobra.Command{Use: "walk", Short: "Play every trouble at every phase of every step, with and without the owner's end",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			if occurrences < 1 {
+				return errors.New("--occurrences: at least 1")
+			}
+			return s.run(cmd, fake.WalkSize(occurrences), walkDays(occurrences))
+		}}
+	walk.Flags().IntVar(&occurrences, "occurrences", 1, "of each step, spread over the day")
+	var first uint64
+	var days int
+	random := &cobra.Command{Use: "random", Short: "Play random days", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if days < 1 {
+				return errors.New("--days: at least 1")
+			}
+			return s.run(cmd, days, randomDays(first, days))
+		}}
+	random.Flags().Uint64Var(&first, "seed", 1, "the first day's seed")
+	random.Flags().IntVar(&days, "days", 1000, "how many")
+	for _, c := range []*cobra.Command{walk, random} {
+		c.Flags().IntVar(&s.workers, "workers", 2, "days played at a time")
+		c.Flags().IntVar(&s.shrinkDays, "shrink", 300, "days played at most to shorten a script that breaks a rule")
+		c.Flags().IntVar(&s.shrinkMost, "shrink-most", 3, "scripts that are shortened, of each rule")
+		c.Flags().StringVar(&s.dir, "out", os.TempDir(), "where scripts that break a rule are written")
+		c.Flags().BoolVarP(&s.verbose, "verbose", "v", false, "list all that was not covered")
+	}
+	var log bool
+	replay := &cobra.Command{Use: "replay FILE", Short: "Play a script again", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return replay(cmd, args[0], log) }}
+	replay.Flags().BoolVar(&log, "log", false, "print all that happens")
+	root.AddCommand(walk, random, replay)
+	return root
+}
+
+func walkDays(occurrences int) iter.Seq[day] {
+	return func(yield func(day) bool) {
+		for p := range fake.Walk(occurrences) {
+			if !yield(day{p.String(), string(p.Step), p.Script}) {
+				return
+			}
+		}
+	}
+}
+
+func randomDays(first uint64, days int) iter.Seq[day] {
+	return func(yield func(day) bool) {
+		for i := range uint64(days) {
+			seed := first + i
+			if !yield(day{fmt.Sprintf("seed %d", seed), "random days", func() fake.Script { return fake.RandomDay(seed) }}) {
+				return
+			}
+		}
+	}
+}
+
+func replay(cmd *cobra.Command, path string, log bool) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	s, err := fake.ReadScript(f)
+	_ = f.Close() // it was only read
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	out := cmd.OutOrStdout()
+	var to func(string, ...any)
+	if log {
+		to = func(format string, args ...any) { fmt.Fprintf(out, format+"\n", args...) }
+	}
+	v := s.Play(to)
+	for _, b := range v.Broken {
+		fmt.Fprintln(out, "broken:", b)
+	}
+	struck := 0
+	for _, ok := range v.Struck {
+		if ok {
+			struck++
+		}
+	}
+	fmt.Fprintf(out, "%d of %d troubles struck; %d starts, %d of them after a confirmed cancellation; ended at %v\n",
+		struck, len(v.Struck), v.Starts, v.AfterCancel, v.Ended.Round(time.Millisecond))
+	if len(v.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/search/search.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"iter"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"roadcleat/internal/fake"
+)
+
+// search plays many days.
+type search struct {
+	play                            func(fake.Script) fake.Verdict
+	workers, shrinkDays, shrinkMost int
+	dir                             string
+	verbose                         bool
+}
+
+// day is a script by its name, and the group it is counted with.
+type day struct {
+	name, group string
+	script      func() fake.Script
+}
+
+type result struct {
+	day     day
+	verdict fake.Verdict
+}
+
+// count is how many days of a group were played, and on how many all troubles struck.
+type count struct{ played, covered int }
+
+// tally is what came of a search so far.
+type tally struct {
+	counts map[string]*count
+	order  []string // groups
+	missed []string // days on which not all troubles struck
+	broken []result
+	starts int
+}
+
+func (t *tally) add(r result) {
+	c := t.counts[r.day.group]
+	if c == nil {
+		c = &count{}
+		t.counts[r.day.group] = c
+		t.order = append(t.order, r.day.group)
+	}
+	c.played++
+	t.starts += r.verdict.Starts
+	if slices.Contains(r.verdict.Struck, false) {
+		t.missed = append(t.missed, r.day.name)
+	} else {
+		c.covered++
+	}
+	if len(r.verdict.Broken) > 0 {
+		t.broken = append(t.broken, r)
+	}
+}
+
+// run plays the days and says what came of them.
+func (s *search) run(cmd *cobra.Command, total int, days iter.Seq[day]) error {
+	if s.workers < 1 {
+		return fmt.Errorf("--workers: at least 1")
+	}
+	ctx, out, errs := cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr()
+	bar := progressbar.NewOptions(total, progressbar.OptionSetWriter(errs), progressbar.OptionSetDescription("0 broken"),
+		progressbar.OptionShowCount(), progressbar.OptionShowIts(), progressbar.OptionSetItsString("days"),
+		progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish())
+	t, began := tally{counts: map[string]*count{}}, time.Now()
+	for r := range s.results(ctx, days) {
+		t.add(r)
+		if len(r.verdict.Broken) > 0 {
+			bar.Describe(fmt.Sprintf("%d broken", len(t.broken)))
+		}
+		_ = bar.Add(1) // a bar that can't be drawn is no reason to stop
+	}
+	_ = bar.Clear()
+	if err := s.tell(ctx, out, &t); err != nil {
+		return err
+	}
+	t.print(out, total, time.Since(began), s.verbose)
+	switch {
+	case len(t.broken) > 0:
+		return errBroken
+	case ctx.Err() != nil:
+		return errInterrupted
+	}
+	return nil
+}
+
+// results plays the days, several at a time, until all are played or ctx is done.
+func (s *search) results(ctx context.Context, days iter.Seq[day]) <-chan result {
+	todo, done := make(chan day), make(chan result)
+	go func() {
+		defer close(todo)
+		for d := range days {
+			select {
+			case todo <- d:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	for range s.workers {
+		wg.Go(func() {
+			for d := range todo {
+				done <- result{d, s.play(d.script())}
+			}
+		})
+	}
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	return done
+}
+
+// tell shortens what broke a rule, the first few of each, and says how to replay it.
+func (s *search) tell(ctx context.Context, out io.Writer, t *tally) error {
+	sort.Slice(t.broken, func(i, j int) bool { return t.broken[i].day.name < t.broken[j].day.name })
+	told := map[string]int{}
+	for _, r := range t.broken {
+		rule, script := r.verdict.Rule(), r.day.script()
+		fmt.Fprintf(out, "%s: %s\n", r.day.name, strings.Join(r.verdict.Broken, "; "))
+		if told[rule]++; told[rule] <= s.shrinkMost {
+			script, _ = script.Shrink(s.shrinkDays, func(x fake.Script) fake.Verdict {
+				if ctx.Err() != nil {
+					return fake.Verdict{} // breaks nothing, so this ends soon
+				}
+				return s.play(x)
+			})
+			fmt.Fprintf(out, "  %s\n", script)
+		}
+		path := filepath.Join(s.dir, "search-"+rule+"-"+fileName(r.day.name)+".json")
+		if err := os.WriteFile(path, []byte(script.String()+"\n"), 0o644); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "  replay with: go run ./cmd/search replay %s\n", path)
+	}
+	return nil
+}
+
+// fileName keeps letters and digits of a name.
+func fileName(name string) string {
+	return strings.Trim(strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '-'
+	}, name), "-")
+}
+
+// print says what was covered and what was not.
+func (t *tally) print(out io.Writer, total int, took time.Duration, verbose bool) {
+	sort.Strings(t.order)
+	sort.Strings(t.missed)
+	var all count
+	for _, g := range t.order {
+		c := t.counts[g]
+		all.played, all.covered = all.played+c.played, all.covered+c.covered
+		fmt.Fprintf(out, "%-12s %6d played, %6d covered, %5d not covered\n", g, c.played, c.covered, c.played-c.covered)
+	}
+	if verbose {
+		for _, name := range t.missed {
+			fmt.Fprintln(out, "not covered:", name)
+		}
+	}
+	fmt.Fprintf(out, "%d of %d days played in %v: %d covered, %d not covered (a trouble's moment did not come), %d broke a rule, %d tasks started\n",
+		all.played, total, took.Round(time.Second), all.covered, all.played-all.covered, len(t.broken), t.starts)
+}
--- /dev/null
+++ b/cmd/search/search_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/fake"
+)
+
+func run(ctx context.Context, args ...string) (int, string, string) {
+	var out, errs strings.Builder
+	code := execute(ctx, args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestExitStatuses(t *testing.T) {
+	dir, ctx := t.TempDir(), context.Background()
+	file := func(name string, s fake.Script) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(s.String()), 0o600))
+		return path
+	}
+	clean := fake.SmallDay()
+	endless := fake.SmallDay()
+	endless.Jobs = endless.Jobs[:1]
+	endless.Jobs[0].Run = 1e6
+	code, out, _ := run(ctx, "replay", file("clean", clean))
+	assert.Equal(t, exitClean, code, out)
+	assert.Contains(t, out, "1 of 1 troubles struck")
+	code, out, _ = run(ctx, "replay", file("endless", endless))
+	assert.Equal(t, exitBroken, code)
+	assert.Contains(t, out, "not_over: job-1 has 0 of 6 tasks done")
+	code, out, _ = run(ctx, "replay", "--log", file("clean", clean))
+	assert.Equal(t, exitClean, code)
+	assert.Contains(t, out, "job accepted")
+	for _, args := range [][]string{{}, {"dance"}, {"replay"}, {"replay", dir + "/none"}, {"walk", "--occurrences", "0"},
+		{"random", "--days", "0"}, {"random", "--workers", "0"}, {"walk", "--no-such"}, {"walk", "extra"}} {
+		code, _, errs := run(ctx, args...)
+		assert.Equal(t, exitUsage, code, args)
+		assert.Equal(t, 1, strings.Count(errs, "\n"), errs)
+	}
+	code, out, _ = run(ctx, "random", "--days", "2", "--seed", "5")
+	assert.Equal(t, exitClean, code, out)
+	assert.Contains(t, out, "2 of 2 days played")
+	stopped, stop := context.WithCancel(ctx)
+	stop()
+	code, out, _ = run(stopped, "walk")
+	assert.Equal(t, exitInterrupted, code)
+	assert.Contains(t, out, "days played in", "the counts so far")
+}
+
+func TestABrokenRulePrintsTheShortestScriptAndHowToReplayIt(t *testing.T) {
+	s := &search{workers: 2, shrinkDays: 500, shrinkMost: 1, dir: t.TempDir(), verbose: true}
+	// Stands for a fault that only freezes bring about.
+	s.play = func(x fake.Script) (v fake.Verdict) {
+		v.Struck = []bool{true, len(x.Steps) < 2 || x.Steps[1].Trouble != "cancel"}
+		for _, step := range x.Steps {
+			if step.Trouble == "freeze" && step.Step == fake.Place && step.Phase == fake.During {
+				v.Broken = []string{"12s quota: red uses 41 cores"}
+			}
+		}
+		return v
+	}
+	cmd := newRoot()
+	var out strings.Builder
+	cmd.SetOut(&out)
+	cmd.SetErr(new(strings.Builder))
+	cmd.SetContext(context.Background())
+	require.ErrorIs(t, s.run(cmd, fake.WalkSize(1), walkDays(1)), errBroken)
+	text := out.String()
+	assert.Equal(t, 2, strings.Count(text, "quota: red uses 41"), "with the owner's end and without")
+	assert.Contains(t, text, "not covered: before accept #8 x cancel")
+	assert.Contains(t, text, "2 broke a rule")
+	_, path, _ := strings.Cut(text, "replay with: go run ./cmd/search replay ")
+	path, _, _ = strings.Cut(path, "\n")
+	f, err := os.Open(path)
+	require.NoError(t, err)
+	defer f.Close()
+	short, err := fake.ReadScript(f)
+	require.NoError(t, err)
+	assert.Contains(t, text, "  "+short.String()+"\n", "the script printed is the one to replay")
+	assert.Len(t, short.Steps, 1)
+	assert.Len(t, short.Jobs, 1)
+}
--- a/internal/fake/script.go
+++ b/internal/fake/script.go
@@ -58,6 +58,7 @@
 	Phase   Phase   `json:"phase,omitempty"`
 	N       int     `json:"n,omitempty"`
 	Trouble string  `json:"trouble"`
+	Delay   float64 `json:"delay,omitempty"` // after the moment
 	For     float64 `json:"for,omitempty"`
 	Node    string  `json:"node,omitempty"`    // a name, "other", or none for whom the moment concerns
 	Machine int     `json:"machine,omitempty"` // which of those alive, or 0 for the one the moment concerns
