--- a/internal/fake/play.go
+++ b/internal/fake/play.go
@@ -30,10 +30,22 @@
 
 // How long a day goes on after its last trouble.
 const (
-	settleWithin = 20 * time.Minute // all that can end must have ended
+	settleWithin = 10 * time.Minute // all that can end must have ended
 	afterwards   = time.Minute      // for what comes late
 )
 
+// settles is how long all that can end may take: twice as long in worlds in which a
+// team's limit is below the usual, where its work comes faster than it may run.
+func (s Script) settles() time.Duration {
+	usual := Settings().Teams
+	for i, t := range s.World.Teams {
+		if i < len(usual) && t.Limit.Cores < usual[i].Limit.Cores {
+			return 2 * settleWithin
+		}
+	}
+	return settleWithin
+}
+
 // Play plays the script. A panic in it counts as a broken rule. log, if any, hears all
 // that happens.
 func (s Script) Play(log func(string, ...any)) (v Verdict) {
@@ -51,13 +63,13 @@
 	s.arm(w, &v)
 	w.Run(s.lastAt() + time.Second)
 	over := func() bool { return allOver(jobs) }
-	if w.Until(settleWithin, func() bool { return w.Now > w.Calm && (over() || services(jobs) != nil) }); !over() {
+	if w.Until(s.settles(), func() bool { return w.Now > w.Calm && (over() || services(jobs) != nil) }); !over() {
 		w.Run(replicaBy + 15*time.Second) // replicas must be there by then
 	}
 	for _, j := range services(jobs) {
 		w.Stop(j)
 	}
-	w.Until(settleWithin, over)
+	w.Until(s.settles(), over)
 	for _, j := range jobs {
 		if !j.ended() {
 			w.Referee.broken("not_over", "%s has %d of %d tasks done", j.Spec.ID, len(j.Finished), j.Spec.Tasks)
