Work that only fills room is judged like any other: none waits 90 s beside room

Cause of the waits that were left: a filler of which nothing runs starts a few tasks after a minute, but the minute began anew in each part it was moved to; it moved to a part with room only if that part's room was not kept for peaks; and the 45 s for which room is left to others began anew whenever that room was taken for a moment.

Now the minute counts from the job's coming or from the end of its last task here, a filler left out may send a few tasks where they may not fill, and the 45 s go on.

--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -124,10 +124,11 @@
 // fillerWaits is how long all of a filler may wait beside room that is kept for others.
 const fillerWaits = time.Minute
 
-// leftOut says whether nothing of a filler has run for so long that some of it starts
-// whatever is kept for others.
+// leftOut says whether nothing of a filler has run here for so long that some of it starts
+// whatever is kept for others. Time spent in other parts counts: what was moved for want
+// of room had waited its minute there, and waited another one in each part.
 func (c *Core) leftOut(s *slice) bool {
-	return len(s.tasks) == 0 && s.shortAt > 0 && c.now > s.shortAt+fillerWaits
+	return len(s.tasks) == 0 && c.now > max(s.job.since, s.bareAt)+fillerWaits
 }
 
 // yielding lists the machines with tasks that would give way.
--- a/internal/core/launches.go
+++ b/internal/core/launches.go
@@ -38,6 +38,9 @@
 		return
 	}
 	delete(s.tasks, t.id.Index)
+	if len(s.tasks) == 0 {
+		s.bareAt = c.now
+	}
 	if s.job.standing != Pending {
 		if len(s.tasks) == 0 {
 			p.dirty[s.job.id] = s
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -26,7 +26,7 @@
 		if s == nil || n.after < moveGain && !dark || !movable(j) || s.busy || len(s.settled) > 0 || c.now < s.moveAt {
 			continue
 		}
-		to, count := c.betterPart(p, j, n)
+		to, count := c.betterPart(p, s, n)
 		if e, ok := p.export[j.id]; ok && to == nil {
 			to, count = e.to, min(e.tasks, n.tasks, 64)
 			delete(p.export, j.id)
@@ -47,16 +47,20 @@
 
 // betterPart finds a part of another owner, or another of mine, with room for
 // some of the tasks now, and how many.
-func (c *Core) betterPart(p *part, j *job, n need) (*part, int) {
+func (c *Core) betterPart(p *part, s *slice, n need) (*part, int) {
+	j := s.job
 	if c.dark(p) {
 		return c.leastBusy(p, j), min(n.tasks, 64)
 	}
 	var best *part
 	most := 0
-	now, typ, fills := seconds(c.now), c.usualType(j), c.filler(j)
+	now, typ, fills, at := seconds(c.now), c.usualType(j), c.filler(j), 32
 	if typ < 0 {
 		return nil, 0
 	}
+	if fills && c.leftOut(s) {
+		fills, at = false, beginWith // a few may go where they may not fill, and start there
+	}
 	for _, q := range c.parts {
 		if q == p || !c.current(q) {
 			continue
@@ -84,7 +88,7 @@
 			best, most = q, fits
 		}
 	}
-	return best, min(most, n.tasks, 32)
+	return best, min(most, n.tasks, at)
 }
 
 // current says whether a part is known as it is now: by own knowledge, or by its
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -55,8 +55,7 @@
 func (c *Core) roomFor(s *slice, n int) int {
 	j := s.job
 	if n == 0 || j.spec.Need.Cores <= 0 {
-		s.leavesAt = 0
-		return n
+		return n // room that comes and goes is left all the while
 	}
 	left, mine := 0.0, c.rankOf(s)
 	for _, a := range c.quotas[j.team].asks {
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -22,6 +22,7 @@
 	checkAt time.Duration // when to look again whether the whole job is done
 	busy    bool
 	shortAt time.Duration   // since when none of its waiting tasks could start
+	bareAt  time.Duration   // when the last of its tasks left its machine
 	making  []time.Duration // room being made for its tasks, each until when at most
 	// Since when some of its tasks have not been running, for operators; 0: all run.
 	missingAt time.Duration
--- a/internal/fake/waiting.go
+++ b/internal/fake/waiting.go
@@ -98,27 +98,13 @@
 			continue
 		}
 		used := all.used[job.Spec.Team]
-		most := waitAtMost
-		if w.borrows(&job.Spec, used) {
-			most = beginWithin // room is kept from it for others' peaks
-		}
-		r.since(job, &job.Stuck, w.roomFor(job, on, used), most, "left_waiting",
+		r.since(job, &job.Stuck, w.roomFor(job, on, used), waitAtMost, "left_waiting",
 			"%s waits with %d tasks though a machine that fits has room", id, missing)
 		r.since(job, &job.Short, job.Spec.Service && w.rentable(job, on, used), replicaBy, "replicas_missing",
 			"%s lacks %d replicas", id, missing)
 	}
 }
 
-// borrows says whether a job is a filler: one more of its tasks would be borrowed room.
-func (w *World) borrows(s *core.Spec, used core.Amount) bool {
-	i := slices.IndexFunc(w.Cfg.Teams, func(t core.Team) bool { return t.Name == s.Team })
-	if i < 0 {
-		return false
-	}
-	g := w.Cfg.Teams[i].Guarantee
-	return g == (core.Amount{}) || s.Priority == 3 && !within(core.Amount{Cores: used.Cores + s.Need.Cores}, g)
-}
-
 // since notes since when something holds that may hold for so long only.
 func (r *Referee) since(job *Job, at *time.Duration, holds bool, most time.Duration, rule, format string, args ...any) {
 	switch {
