--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -69,7 +69,7 @@
 			return stuck(&s, f.stuckAfter)
 		}}
 	addFlags(cmd, &f.addr, &f.json)
-	cmd.Flags().BoolVar(&f.all, "all", false, "list also services all of whose replicas are up")
+	cmd.Flags().BoolVar(&f.all, "all", false, "list queues part by part, and also services all of whose replicas are up")
 	cmd.Flags().Float64Var(&f.stuckAfter, "stuck-after", 0, "end with status 3 if a queue or a service's replicas have waited for more seconds than this; 0: never")
 	return cmd
 }
@@ -157,7 +157,7 @@
 	for _, d := range s.Degraded {
 		fmt.Fprintf(w, "DEGRADED\t%s\tfor %.1fs\n", d.Mode, d.SinceS)
 	}
-	printQueues(w, s.Queues)
+	printQueues(w, s.Queues, all)
 	printServices(w, s.Services, all)
 	fmt.Fprintln(w, "\nPART\tOWNER\tTOKEN\tJOBS\tWAITING\tON MACHINES\tMACHINES")
 	for _, p := range s.Parts {
@@ -196,7 +196,31 @@
 	return w.Flush()
 }
 
-func printQueues(w io.Writer, queues []core.Queue) {
+// byClassAndTeam puts the parts of a queue together: their tasks, and of the part where
+// the wait is longest, which comes first, the rest.
+func byClassAndTeam(queues []core.Queue) []core.Queue {
+	var out []core.Queue
+	at, parts := map[[2]string]int{}, map[int]int{}
+	for _, q := range queues {
+		k, seen := at[[2]string{q.Class, q.Team}]
+		if !seen {
+			at[[2]string{q.Class, q.Team}] = len(out)
+			out = append(out, q)
+			continue
+		}
+		parts[k]++
+		out[k].Add(q.Tally)
+	}
+	for k, n := range parts {
+		out[k].Part += fmt.Sprintf(" (+%d)", n)
+	}
+	return out
+}
+
+func printQueues(w io.Writer, queues []core.Queue, all bool) {
+	if !all {
+		queues = byClassAndTeam(queues)
+	}
 	if len(queues) == 0 {
 		fmt.Fprintln(w, "\nnothing waits")
 		return
--- a/cmd/roadcleat/root_test.go
+++ b/cmd/roadcleat/root_test.go
@@ -92,6 +92,7 @@
 
 const stuckStatus = `{"label":"n0","queues":[
 {"part":"z","class":"work","team":"red","waiting":40,"fetching":2,"wait_s":95,"job":"job-000003","why":"at_limit"},
+{"part":"y","class":"work","team":"red","waiting":7,"wait_s":50,"job":"job-000005","why":"booting"},
 {"part":"y","class":"work","team":"blue","waiting":1,"wait_s":4,"job":"job-000004","why":"of_a_later_version"}],
 "services":[
 {"job":"job-000007","class":"live","team":"red","wanted":8,"up":5,"starting":0,"fetching":1,"waiting":1,"unknown":1,"missing_s":31,
@@ -109,7 +110,10 @@
 	}
 	assert.NotContains(t, out, "job-000008", "nothing is missing there")
 	assert.Less(t, strings.Index(out, "job-000003"), strings.Index(out, "OWNER"), "what waits comes first")
+	assert.Regexp(t, `work +red +z \(\+1\) +95s +47 +2 `, out, "parts together, with the longest wait of them")
+	assert.NotContains(t, out, "job-000005")
 	_, out, _ = run("status", "--addr", addr, "--all")
+	assert.Regexp(t, `work +red +y +50s +7 `, out)
 	assert.Contains(t, out, "job-000008")
 	code, out, _ = run("status", "--addr", addr, "--json")
 	assert.Zero(t, code)
@@ -125,7 +129,7 @@
 		after string
 		code  int
 		says  string
-	}{{"0", 0, ""}, {"100", 0, ""}, {"60", 3, "1 waited for more than 60s, the longest 95s, work of red in z: the team's limit is used up"}, {"30", 3, "3 waited"}} {
+	}{{"0", 0, ""}, {"100", 0, ""}, {"60", 3, "1 waited for more than 60s, the longest 95s, work of red in z: the team's limit is used up"}, {"30", 3, "4 waited"}} {
 		code, _, errs := run("status", "--addr", addr, "--stuck-after", c.after)
 		assert.Equal(t, c.code, code, c.after)
 		assert.Contains(t, errs, c.says)
--- a/internal/core/queues.go
+++ b/internal/core/queues.go
@@ -105,7 +105,8 @@
 
 func (n Tally) missing() int { return n.Starting + n.Fetching + n.Waiting }
 
-func (n *Tally) add(m Tally) {
+// Add adds another's counts.
+func (n *Tally) Add(m Tally) {
 	n.Up += m.Up
 	n.Starting += m.Starting
 	n.Fetching += m.Fetching
@@ -224,7 +225,7 @@
 			out = append(out, Queue{Part: p.name, Class: s.job.spec.Class, Team: s.job.spec.Team})
 			longest = append(longest, s)
 		}
-		out[k].add(s.tally())
+		out[k].Add(s.tally())
 		if c.missingS(s) > c.missingS(longest[k]) {
 			longest[k] = s
 		}
@@ -309,7 +310,7 @@
 			return
 		}
 		s := &out[k]
-		s.add(n)
+		s.Add(n)
 		s.MissingS = max(s.MissingS, missing)
 		if n.missing() > 0 {
 			s.Why = append(s.Why, PartWhy{part, why, detail})
