check asks for the lease in which workers find another controller, as a story plays it

The bound left out that a controller may end just before a late report, and put the wait for its lease beside that report instead of after it. A story ends one at that moment for reports of 3, 5 and 8 s: with a second less than the bound work starts again, with a round of all controllers on top of it none does.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -290,10 +290,11 @@
 	if w.ReportS > w.LeaseS/3 {
 		warn("deployment.workers.report_s: %g is more than a third of lease_s, %g: reports lost in a row cost a worker its lease", w.ReportS, w.LeaseS)
 	}
-	if found := o.Knobs().TakenOverIn(Seconds(w.ReportS), Seconds(w.LeaseS)); found > Seconds(w.LeaseS) {
-		warn("deployment.workers.lease_s: %g is less than the %.1f s in which workers find another controller when theirs ends, so its end costs running work", w.LeaseS, found.Seconds())
-	} else if found += Seconds(o.GraceS); found > Seconds(w.LeaseS) {
-		warn("[parts] grace_s: %g is too long: with it workers find another zone's controller in %.1f s, and lease_s is %g", o.GraceS, found.Seconds(), w.LeaseS)
+	report, lease, knobs := Seconds(w.ReportS), Seconds(w.LeaseS), o.Knobs()
+	if found := knobs.TakenOverIn(report, lease, false); found > lease {
+		warn("deployment.workers.lease_s: %g is less than the %.1f s in which workers find another controller at best when theirs ends, so its end costs running work", w.LeaseS, found.Seconds())
+	} else if found = knobs.TakenOverIn(report, lease, true); found > lease {
+		warn("[parts] grace_s: %g is too long: with it workers find another zone's controller in %.1f s at best, and lease_s is %g", o.GraceS, found.Seconds(), w.LeaseS)
 	}
 	return out
 }
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -36,12 +36,19 @@
 	return k
 }
 
-// TakenOverIn is how long workers may be without an answer when their controller ends:
-// the one that takes their part waits for its lease to run out, and then they must find
-// it. A worker's lease must be longer.
-func (k Knobs) TakenOverIn(report, lease time.Duration) time.Duration {
+// TakenOverIn is how long workers are without an answer at least when their controller
+// ends just before a late report of theirs: they must give that report up and ask another,
+// and one must have taken the part, once the controller's lease has run out. Whoever asks
+// before that goes round all controllers once more, the ended one among them, which takes a
+// second each and 5 s. A worker's lease must be longer. The whole grace is waited for if
+// the part's home is heard.
+func (k Knobs) TakenOverIn(report, lease time.Duration, homeHeard bool) time.Duration {
 	k = k.InForce(report, lease)
-	return max(report*5/4+lostReport, k.Hold+min(k.Grace, noHome)+5*time.Second)
+	grace := k.Grace
+	if !homeHeard {
+		grace = min(grace, noHome)
+	}
+	return report*5/4 + max(5500*time.Millisecond, k.Hold+grace+time.Second)
 }
 
 // deafAfter is for how long nothing is heard of any worker of a part before its owner
--- a/internal/fake/timing_test.go
+++ b/internal/fake/timing_test.go
@@ -149,3 +149,44 @@
 	w.Stop(job)
 	ends(t, w, job, 20*time.Second)
 }
+
+func TestALeaseThatIsLongEnoughOutlastsTheEndOfAController(t *testing.T) {
+	// With less than check asks for, work starts again; with a round of all controllers
+	// on top of it none does, reports being as late as they may be.
+	for _, c := range []struct{ report, spare time.Duration }{
+		{8 * time.Second, 9 * time.Second}, {5 * time.Second, 9 * time.Second}, {3 * time.Second, 9 * time.Second},
+		{8 * time.Second, -time.Second}, {5 * time.Second, -time.Second}, {3 * time.Second, -time.Second},
+	} {
+		t.Run(fmt.Sprint(c.report, c.spare), func(t *testing.T) {
+			knobs := Settings().Knobs
+			lease := 20 * time.Second
+			for range 10 { // the controllers' lease is a share of the workers'
+				lease = knobs.TakenOverIn(c.report, lease, false) + c.spare
+			}
+			w := timed(t, 8405, c.report, lease, lease+30*time.Second)
+			s := spec("job-1", "red", 10, 2)
+			s.Zone = "a"
+			job := w.Submit(s, 3*time.Minute)
+			require.True(t, w.Until(60*time.Second, started(w, "job-1", 10)))
+			w.Run(2 * c.report)
+			w.Cfg.Report = c.report * 5 / 4
+			w.Run(2 * c.report)
+			// It ends right before some machine's report, and is silent rather than
+			// refusing.
+			k := anyOn(w, "job-1")
+			require.True(t, w.Until(2*w.Cfg.Report, func() bool { return !k.flying && w.Now > k.lastSent+w.Cfg.Report-300*time.Millisecond }))
+			for name := range w.Workers {
+				w.Cut(w.Nodes[0].Name, name, 60*time.Second, false)
+			}
+			w.Nodes[0].Restart(60 * time.Second)
+			w.Run(40 * time.Second)
+			if c.spare > 0 {
+				assert.Equal(t, 10, job.Starts, "no task had to start again")
+			} else {
+				assert.Greater(t, job.Starts, 10)
+			}
+			w.Stop(job)
+			ends(t, w, job, 30*time.Second)
+		})
+	}
+}
