--- a/internal/core/queues.go
+++ b/internal/core/queues.go
@@ -293,59 +293,62 @@
 // services describes all services, those that miss replicas longest first; only one, if
 // its name is given.
 func (c *Core) services(only string) []ServiceStatus {
-	var out []ServiceStatus
-	at := map[string]int{}
-	for _, id := range sorted(c.jobs) {
-		if j := c.jobs[id]; j.spec.Service && (only == "" || id == only) {
-			at[id] = len(out)
-			out = append(out, ServiceStatus{Job: id, Class: j.spec.Class, Team: j.spec.Team, Wanted: j.spec.Tasks})
+	of := map[string]*ServiceStatus{}
+	for id, j := range c.jobs {
+		if j.spec.Service && (only == "" || id == only) {
+			of[id] = &ServiceStatus{Job: id, Class: j.spec.Class, Team: j.spec.Team, Wanted: j.spec.Tasks}
 		}
 	}
-	if len(out) == 0 {
+	if len(of) == 0 {
 		return nil
 	}
-	share := func(id, part string, n Tally, missing float64, why Reason, detail string) {
-		k, ok := at[id]
-		if !ok {
-			return
-		}
-		s := &out[k]
-		s.Add(n)
-		s.MissingS = max(s.MissingS, missing)
-		if n.missing() > 0 {
-			s.Why = append(s.Why, PartWhy{part, why, detail})
-		}
-	}
 	for _, p := range c.parts {
-		switch {
-		case p.mine && p.loaded:
-			first := c.firstUp(p)
-			for _, id := range sorted(p.slices) {
-				if s := p.slices[id]; s.job.spec.Service {
-					n := s.tally()
-					why, detail := c.why(p, s, n, first)
-					share(id, p.name, n, c.missingS(s), why, detail)
-				}
-			}
-		case c.unheard(p) == NoReason:
-			for _, s := range c.shown[p.name] {
-				share(s.ID, p.name, s.tally(), s.MissingS, s.Why, "")
-			}
-		}
+		c.addReplicas(p, of)
 	}
-	for k := range out {
-		s := &out[k]
+	var out []ServiceStatus
+	for _, id := range sorted(of) {
+		s := of[id]
 		s.Unknown = max(s.Wanted-s.Up-s.missing(), 0)
 		for _, p := range c.parts {
 			if why := c.unheard(p); s.Unknown > 0 && why != NoReason {
 				s.Why = append(s.Why, PartWhy{p.name, why, ""})
 			}
 		}
+		out = append(out, *s)
 	}
 	slices.SortStableFunc(out, func(a, b ServiceStatus) int { return cmp.Compare(b.MissingS, a.MissingS) })
 	return out
 }
 
+// addReplicas adds a part's replicas: by own knowledge, or by its owner's last word.
+func (c *Core) addReplicas(p *part, of map[string]*ServiceStatus) {
+	switch {
+	case p.mine && p.loaded:
+		first := c.firstUp(p)
+		for id, s := range p.slices {
+			if of[id] != nil {
+				n := s.tally()
+				why, detail := c.why(p, s, n, first)
+				of[id].addPart(n, c.missingS(s), PartWhy{p.name, why, detail})
+			}
+		}
+	case c.unheard(p) == NoReason:
+		for _, s := range c.shown[p.name] {
+			if of[s.ID] != nil {
+				of[s.ID].addPart(s.tally(), s.MissingS, PartWhy{p.name, s.Why, ""})
+			}
+		}
+	}
+}
+
+func (s *ServiceStatus) addPart(n Tally, missingS float64, why PartWhy) {
+	s.Add(n)
+	s.MissingS = max(s.MissingS, missingS)
+	if n.missing() > 0 {
+		s.Why = append(s.Why, why)
+	}
+}
+
 // queues are those of all parts, the longest wait first.
 func (c *Core) queues() []Queue {
 	out := []Queue{}
