--- a/cmd/search/root.go
+++ b/cmd/search/root.go
@@ -7,6 +7,7 @@
 	"io"
 	"iter"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -52,13 +53,19 @@
 	root := &cobra.Command{Use: "search", Short: "Looks for days on which a rule is broken", SilenceUsage: true, SilenceErrors: true,
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return errors.New("walk, random or replay?") }}
 	var occurrences int
+	var only []string
 	walk := &cobra.Command{Use: "walk", Short: "Play every trouble at every phase of every step, with and without the owner's end",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			if occurrences < 1 {
 				return errors.New("--occurrences: at least 1")
 			}
-			return s.run(cmd, fake.WalkSize(occurrences), walkDays(occurrences))
+			steps, err := stepsNamed(only)
+			if err != nil {
+				return err
+			}
+			return s.run(cmd, fake.WalkSize(occurrences)/len(fake.Steps)*len(steps), walkDays(steps, occurrences))
 		}}
+	walk.Flags().StringSliceVar(&only, "step", nil, "only these steps")
 	walk.Flags().IntVar(&occurrences, "occurrences", 1, "of each step, spread over the day")
 	var first uint64
 	var days int
@@ -75,6 +82,7 @@
 		c.Flags().IntVar(&s.workers, "workers", 2, "days played at a time")
 		c.Flags().IntVar(&s.shrinkDays, "shrink", 300, "days played at most to shorten a script that breaks a rule")
 		c.Flags().IntVar(&s.shrinkMost, "shrink-most", 3, "scripts that are shortened, of each rule")
+		c.Flags().BoolVar(&s.first, "first", false, "stop at the first day that breaks a rule")
 		c.Flags().StringVar(&s.dir, "out", os.TempDir(), "where scripts that break a rule are written")
 		c.Flags().BoolVarP(&s.verbose, "verbose", "v", false, "list all that was not covered")
 	}
@@ -86,10 +94,25 @@
 	return root
 }
 
-func walkDays(occurrences int) iter.Seq[day] {
+// stepsNamed are the steps named, all of them if none is.
+func stepsNamed(names []string) ([]fake.Step, error) {
+	if len(names) == 0 {
+		return fake.Steps, nil
+	}
+	var steps []fake.Step
+	for _, n := range names {
+		if !slices.Contains(fake.Steps, fake.Step(n)) {
+			return nil, fmt.Errorf("--step: no step is called %q", n)
+		}
+		steps = append(steps, fake.Step(n))
+	}
+	return steps, nil
+}
+
+func walkDays(steps []fake.Step, occurrences int) iter.Seq[day] {
 	return func(yield func(day) bool) {
 		for p := range fake.Walk(occurrences) {
-			if !yield(day{p.String(), string(p.Step), p.Script}) {
+			if slices.Contains(steps, p.Step) && !yield(day{p.String(), string(p.Step), p.Script}) {
 				return
 			}
 		}
--- a/cmd/search/search.go
+++ b/cmd/search/search.go
@@ -24,7 +24,7 @@
 	play                            func(fake.Script) fake.Verdict
 	workers, shrinkDays, shrinkMost int
 	dir                             string
-	verbose                         bool
+	verbose, first                  bool
 }
 
 // day is a script by its name, and the group it is counted with.
@@ -75,13 +75,21 @@
 		return fmt.Errorf("--workers: at least 1")
 	}
 	ctx, out, errs := cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr()
+	// What is broken is told at once, and shortened and explained at the end.
 	bar := progressbar.NewOptions(total, progressbar.OptionSetWriter(errs), progressbar.OptionSetDescription("0 broken"),
 		progressbar.OptionShowCount(), progressbar.OptionShowIts(), progressbar.OptionSetItsString("days"),
 		progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish())
 	t, began := tally{counts: map[string]*count{}}, time.Now()
-	for r := range s.results(ctx, days) {
+	playing, enough := context.WithCancel(ctx)
+	defer enough()
+	for r := range s.results(playing, days) {
 		t.add(r)
 		if len(r.verdict.Broken) > 0 {
+			if s.first {
+				enough()
+			}
+			_ = bar.Clear()
+			fmt.Fprintf(errs, "%s: %s\n", r.day.name, r.verdict.Broken[0])
 			bar.Describe(fmt.Sprintf("%d broken", len(t.broken)))
 		}
 		_ = bar.Add(1) // a bar that can't be drawn is no reason to stop
--- a/cmd/search/search_test.go
+++ b/cmd/search/search_test.go
@@ -40,7 +40,7 @@
 	assert.Equal(t, exitClean, code)
 	assert.Contains(t, out, "job accepted")
 	for _, args := range [][]string{{}, {"dance"}, {"replay"}, {"replay", dir + "/none"}, {"walk", "--occurrences", "0"},
-		{"random", "--days", "0"}, {"random", "--workers", "0"}, {"walk", "--no-such"}, {"walk", "extra"}} {
+		{"random", "--days", "0"}, {"random", "--workers", "0"}, {"walk", "--no-such"}, {"walk", "--step", "dance"}, {"walk", "extra"}} {
 		code, _, errs := run(ctx, args...)
 		assert.Equal(t, exitUsage, code, args)
 		assert.Equal(t, 1, strings.Count(errs, "\n"), errs)
@@ -72,7 +72,7 @@
 	cmd.SetOut(&out)
 	cmd.SetErr(new(strings.Builder))
 	cmd.SetContext(context.Background())
-	require.ErrorIs(t, s.run(cmd, fake.WalkSize(1), walkDays(1)), errBroken)
+	require.ErrorIs(t, s.run(cmd, fake.WalkSize(1), walkDays(fake.Steps, 1)), errBroken)
 	text := out.String()
 	assert.Equal(t, 2, strings.Count(text, "quota: red uses 41"), "with the owner's end and without")
 	assert.Contains(t, text, "not covered: before accept #8 x cancel")
@@ -87,4 +87,9 @@
 	assert.Contains(t, text, "  "+short.String()+"\n", "the script printed is the one to replay")
 	assert.Len(t, short.Steps, 1)
 	assert.Len(t, short.Jobs, 1)
+
+	s.first = true
+	out.Reset()
+	require.ErrorIs(t, s.run(cmd, fake.WalkSize(1), walkDays(fake.Steps, 1)), errBroken)
+	assert.NotContains(t, out.String(), "3276 of 3276")
 }
