Tasks moved by a write whose answer is lost are found by the part that got them

The part that got the task learned of the move from the job, but looks only at slices it does not have; one whose tasks all run is never written, so nothing told it. When a job has moved and a slice in which nothing waits is older than that, it is read once more after a second.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -93,14 +93,21 @@
 			c.sawClass(j)
 		}
 	}
+	moved := v.Moves > j.moves
 	j.stamp, j.split, j.moves, j.bytes = stamp, v.Split, v.Moves, 0
 	for _, zone := range sorted(v.Split) {
 		r := v.Split[zone]
 		z := c.zones.known(zone)
-		if z < 0 || !c.parts[z].mine || !c.parts[z].loaded || c.parts[z].slices[id] != nil {
+		if z < 0 || !c.parts[z].mine || !c.parts[z].loaded {
 			continue
 		}
 		p := c.parts[z]
+		if p.slices[id] != nil {
+			if moved {
+				c.lookForMoved(p, id)
+			}
+			continue
+		}
 		if j.moves == 0 {
 			sv, _ := json.Marshal(sliceValue{Waiting: r})
 			c.adoptSlice(p, id, sv, stamp)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -204,3 +204,33 @@
 		}
 	}
 }
+
+// movedHeardBy is how long after word of a job's move its slices may still be told of it.
+const movedHeardBy = time.Second
+
+// lookForMoved reads a slice in which nothing waits once more when tasks of its job have
+// moved and it was not told of it: the answer to the move, or the word of it, was lost.
+// Nothing else may ever write the slice, as when its replicas run, and the tasks would
+// wait unseen. Where some wait, the next placement finds out.
+func (c *Core) lookForMoved(p *part, id string) {
+	tenure := p.tenure
+	unsure := func() bool {
+		s, j := p.slices[id], c.jobs[id]
+		return p.mine && p.loaded && p.tenure == tenure && s != nil && j != nil && s.stamp < j.stamp && len(s.waiting) == 0
+	}
+	c.after(movedHeardBy, func() {
+		switch {
+		case !unsure():
+		case p.committing:
+			c.lookForMoved(p, id)
+		default:
+			c.readSurely(sliceKey(p.name, id), unsure, func(res ReadResult) {
+				if p.committing {
+					c.lookForMoved(p, id) // what was read may be from before or after it
+				} else if res.Found && res.Item.Stamp > p.slices[id].stamp {
+					c.sliceSeen(p, id, res.Item.Value, res.Item.Stamp)
+				}
+			})
+		}
+	})
+}
--- a/internal/fake/left_test.go
+++ b/internal/fake/left_test.go
@@ -48,3 +48,45 @@
 	ends(t, w, filler, 90*time.Second)
 	assert.False(t, busy.Over())
 }
+
+func TestATaskMovedByAWriteWhoseAnswerIsLostIsNotForgotten(t *testing.T) {
+	cfg := Settings()
+	cfg.Zones = []string{"a", "b"}
+	w := NewWith(73, cfg, "a") // one owner of both parts
+	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
+	for k := range w.Cloud.Room {
+		w.Cloud.Room[k] = 0
+	}
+	w.Cloud.Room[roomKey("small", "a", true)], w.Cloud.Room[roomKey("small", "b", true)] = 1, 1
+	w.Run(3 * time.Second)
+	for _, zone := range cfg.Zones { // a machine in each
+		s := spec("job-"+zone, "red", 1, 1)
+		s.Zone = zone
+		ends(t, w, w.Submit(s, time.Second), time.Minute)
+	}
+	s := spec("job-1", "red", 2, 3)
+	s.Service, s.Estimate = true, 0
+	service := w.Submit(s, time.Hour)
+	require.True(t, w.Until(time.Minute, started(w, "job-1", 2)))
+	lost := 0
+	w.Store.Lose = func(_ string, txn core.Txn) (bool, time.Duration) {
+		if changes(txn, "slice/a/job-1") && changes(txn, "slice/b/job-1") {
+			lost++
+		}
+		return lost == 1 && changes(txn, "slice/a/job-1"), 0 // carried out all the same
+	}
+	for _, k := range w.Alive() {
+		if k.zone == "b" {
+			k.Die()
+			k.deleted = true // the cloud has no other for it
+		}
+	}
+	w.Cloud.Room[roomKey("small", "b", true)], w.Cloud.Room[roomKey("large", "a", true)] = 0, 1
+	more := spec("job-2", "red", 1, 2) // has a machine with room for the replica hired
+	more.Zone = "a"
+	w.Submit(more, 5*time.Minute)
+	require.True(t, w.Until(2*time.Minute, func() bool { return lost > 0 }), "the replica moves, and the answer to that is lost")
+	assert.True(t, w.Until(time.Minute, started(w, "job-1", 2)), "its owner finds it all the same")
+	w.Stop(service)
+	ends(t, w, service, time.Minute)
+}
