Replicas of a service take the room of arrays of lower priority

Cause: a service's replicas may use ordinary machines only, arrays use them as well, and nothing that saves no progress was ever stopped. A replica that came or was lost waited until an array's task ended or a machine booted.

Work that is no service stops only fillers, as before: each stop there loses what it gains.

--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -131,15 +131,37 @@
 	return len(s.tasks) == 0 && c.now > max(s.job.since, s.bareAt)+fillerWaits
 }
 
-// yielding lists the machines with tasks that would give way.
+// givesWay says whether a task may be stopped so that one of job j's starts in its room:
+// what only borrows, and any array of lower priority for the replicas of a service. A
+// replica that is missing is missed every second, and it stays: stopped once, the
+// array's task starts elsewhere and that room is the service's for good.
+func (c *Core) givesWay(t *task, j *job) bool {
+	v := t.job()
+	if c.yields(t) {
+		return v.spec.Priority > j.spec.Priority || c.within[j.team]
+	}
+	return v != nil && j.spec.Service && !v.spec.Service && v.spec.Priority > j.spec.Priority &&
+		v.standing == Pending && t.phase == onHost && !t.halting
+}
+
+// yielding lists the machines with tasks that would give way to somebody.
 func (c *Core) yielding(p *part) []*host {
+	return c.usableWith(p, c.yields)
+}
+
+// yieldingTo lists those with tasks that would give way to a service's replicas.
+func (c *Core) yieldingTo(p *part, j *job) []*host {
+	return c.usableWith(p, func(t *task) bool { return c.givesWay(t, j) })
+}
+
+func (c *Core) usableWith(p *part, which func(*task) bool) []*host {
 	out := []*host{}
 	for _, h := range p.hostList() {
 		if h.typ < 0 || !h.usable(c.now) {
 			continue
 		}
 		for _, t := range h.tasks {
-			if c.yields(t) {
+			if which(t) {
 				out = append(out, h)
 				break
 			}
@@ -151,8 +173,8 @@
 // saveTime is how long a worker may take beyond a task's own time to save.
 const saveTime = 1.0
 
-// makeRoom stops fillers where their room lets tasks of the job start that would wait
-// otherwise, and returns how many. As few are stopped as will do, those that lose
+// makeRoom stops tasks that give way where their room lets tasks of the job start that
+// would wait otherwise, and returns how many. As few are stopped as will do, those that lose
 // least first; they save if the job can wait for that. What is being made is
 // remembered, so that no plan asks for the same room twice.
 func (c *Core) makeRoom(p *part, s *slice, tasks int, yielding []*host) int {
@@ -178,7 +200,7 @@
 		for _, id := range sortedTasks(h.tasks) { // sums must not depend on a map's order
 			t := h.tasks[id]
 			o.free = o.free.plus(t.need, -1)
-			if v := t.job(); c.yields(t) && (v.spec.Priority > j.spec.Priority || c.within[j.team]) {
+			if c.givesWay(t, j) {
 				o.victims = append(o.victims, t)
 				o.loss += c.lossOf(t)
 			}
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -505,11 +505,16 @@
 			inTime = 0 // more urgent work takes it each time
 		}
 		if late > inTime && j.doubt == 0 {
-			if yielding == nil {
+			offers := yielding
+			if j.spec.Service {
+				offers = c.yieldingTo(p, j)
+				looks += len(devices)
+			} else if yielding == nil {
 				yielding = c.yielding(p)
+				offers = yielding
 			}
-			looks += len(yielding)
-			late -= max(c.makeRoom(p, s, late-inTime, yielding)-inTime, 0)
+			looks += len(offers)
+			late -= max(c.makeRoom(p, s, late-inTime, offers)-inTime, 0)
 		}
 		if late > 0 && j.doubt == 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
--- a/internal/fake/gpu_test.go
+++ b/internal/fake/gpu_test.go
@@ -151,3 +151,31 @@
 	ends(t, w, long, 150*time.Second)
 	assert.Equal(t, 24, long.Starts, "nothing is lost to a verdict on its machine")
 }
+
+func TestReplicasTakeTheRoomOfArrays(t *testing.T) {
+	w := cardDay(t, 906, 60*time.Second, 0)
+	for _, z := range w.Cfg.Zones {
+		w.Cloud.Room[roomKey("cards", z, false)] = 2
+	}
+	var arrays []*Job
+	for _, z := range w.Cfg.Zones {
+		array := sweep("job-"+z, 16, 300)
+		array.Zone = z
+		arrays = append(arrays, w.Submit(array, 300*time.Second))
+	}
+	running := func() bool {
+		return started(w, "job-a", 16)() && started(w, "job-b", 16)() && started(w, "job-c", 16)()
+	}
+	require.True(t, w.Until(150*time.Second, running), "arrays have all machines")
+	w.Submit(liveService("job-2", 6), 0)
+	require.True(t, w.Until(15*time.Second, started(w, "job-2", 6)), "replicas need not wait for a machine")
+	w.Run(20 * time.Second)
+	starts := 0
+	for _, j := range arrays {
+		starts += j.Starts
+	}
+	assert.LessOrEqual(t, starts, 48+6, "no more is stopped than the replicas need")
+	for _, j := range arrays {
+		ends(t, w, j, 15*time.Minute)
+	}
+}
