Room is reckoned by what a task takes of its machine; ordinary room is kept ready

Cause: demand, room, queues, fillers and what is told of machines counted cores. On machines of 96 cores and 8 cards a task with one card took 8 or 10 cores, so a machine without a card left counted as a third or a sixth free, spare room was never hired and queues seemed shorter. And the spare was one sum per type of machine: cheap machines that stood ready were none to services, which may not use them.

Change: what a task takes is its largest share of cores, cards or memory, in the machine's cores. Demand of work that no spot machine may run is kept beside the whole, has a spare of its own, and keeps ordinary machines from going back. Arrays are stopped for replicas only where these then run earlier than planned without that by three seconds; a machine whose boot is overdue counts as nothing to wait for.

Ruled out: booting machines that are overdue expected in proportion to their age everywhere.

--- a/internal/core/fillers.go
+++ b/internal/core/fillers.go
@@ -60,9 +60,9 @@
 		total[i] += c.types[h.typ].Total.Cores
 		for _, t := range h.tasks {
 			if j := t.job(); j != nil && c.filler(j) {
-				fillers[i] += t.need.Cores
+				fillers[i] += c.takes(t.need, h.typ)
 			} else {
-				others[i] += t.need.Cores
+				others[i] += c.takes(t.need, h.typ)
 			}
 		}
 	}
@@ -76,17 +76,21 @@
 
 // fillable is the machines of pools in which a filler's tasks still have room, and how
 // many of them all pools together may take.
-func (k *kept) fillable(j *job, all []device, left []float64) (fit []device, most int) {
+func (c *Core) fillable(k *kept, j *job, all []device, left []float64) (fit []device, most int) {
 	for _, d := range all {
-		if left[poolOf(k.pools, d.host.typ)] >= j.spec.Need.Cores {
+		if left[poolOf(k.pools, d.host.typ)] >= c.takes(j.spec.Need, d.host.typ) {
 			fit = append(fit, d)
 		}
 	}
-	sum := 0.0
-	for _, room := range left {
-		sum += max(room, 0)
+	for i, room := range left {
+		for t := range c.types {
+			if poolOf(k.pools, t) == i && room > 0 {
+				most += count(room / c.takes(j.spec.Need, t))
+				break
+			}
+		}
 	}
-	return fit, count(sum / j.spec.Need.Cores)
+	return fit, most
 }
 
 // fillOn is what fillers may still take of a part's machines of a type, as its owner
@@ -177,7 +181,7 @@
 // would wait otherwise, and returns how many. As few are stopped as will do, those that lose
 // least first; they save if the job can wait for that. What is being made is
 // remembered, so that no plan asks for the same room twice.
-func (c *Core) makeRoom(p *part, s *slice, tasks int, yielding []*host) int {
+func (c *Core) makeRoom(p *part, s *slice, tasks int, by float64, yielding []*host) int {
 	j := s.job
 	s.making = slices.DeleteFunc(s.making, func(until time.Duration) bool { return c.now >= until })
 	tasks -= len(s.making)
@@ -196,6 +200,9 @@
 		if !h.usable(c.now) || !c.allowedOn(j, c.kind(p.zone, h.typ, h.spot)) {
 			continue
 		}
+		if c.imageAt(h, j)+worthStopping > by {
+			continue // it may as well wait for the room that is planned for it
+		}
 		o := offer{host: h, free: c.types[h.typ].Total}
 		for _, id := range sortedTasks(h.tasks) { // sums must not depend on a map's order
 			t := h.tasks[id]
@@ -254,6 +261,21 @@
 	return len(s.making)
 }
 
+// worthStopping is by how many seconds a task must start earlier for others to be
+// stopped for it.
+const worthStopping = 3.0
+
+// imageAt is when a job's image can be on a machine.
+func (c *Core) imageAt(h *host, j *job) float64 {
+	if _, has := h.images[j.image]; has || j.image < 0 {
+		return seconds(c.now)
+	}
+	if at, on := h.fetching[j.image]; on {
+		return seconds(max(at, c.now))
+	}
+	return seconds(max(h.fetchEnd, c.now)) + j.spec.ImageGB*c.fetchRate(h.typ)
+}
+
 // lossOf is how many core seconds of work are lost if a task is stopped without
 // having time to save.
 func (c *Core) lossOf(t *task) float64 {
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -18,10 +18,25 @@
 	asked   time.Duration
 }
 
-// sample is the demand at a moment, in cores by pool of machine types.
+// takes is what an amount takes of a machine of the type, in the machine's cores: of its
+// cores, cards and memory whatever it takes the largest share of. Where cards bind,
+// machines without a card left counted as having a third or a sixth of their cores free.
+// It is a multiple of 1/64, which add up to the same in any order.
+func (c *Core) takes(need Amount, typ int) float64 {
+	t, share := c.types[typ].Total, 0.0
+	for _, x := range [][2]float64{{need.Cores, t.Cores}, {need.Cards, t.Cards}, {need.Mem, t.Mem}} {
+		if x[0] > 0 && x[1] > 0 {
+			share = max(share, x[0]/x[1])
+		}
+	}
+	return max(math.Round(share*t.Cores*64), 1) / 64
+}
+
+// sample is the demand at a moment, as load by pool of machine types.
 type sample struct {
 	at    time.Duration
 	cores []float64
+	plain []float64 // of it, by work that no spot machine may run
 }
 
 // size keeps the part's fleet near its demand: machines for waiting work at
@@ -40,16 +55,20 @@
 	demand := make([]float64, len(pools))
 	filled := make([]float64, len(pools)) // by fillers
 	firm := make([]float64, len(pools))   // by those that can't give way
+	plain := make([]float64, len(pools))
 	for _, h := range p.hostList() {
 		if h.typ >= 0 {
 			for _, t := range h.tasks {
-				i := poolOf(pools, h.typ)
+				i, use := poolOf(pools, h.typ), c.takes(t.need, h.typ)
 				if j := t.job(); j == nil || !c.filler(j) {
-					demand[i] += t.need.Cores
+					demand[i] += use
+					if j != nil && !j.spec.Spot {
+						plain[i] += use
+					}
 					continue
 				}
-				if filled[i] += t.need.Cores; !c.yields(t) {
-					firm[i] += t.need.Cores
+				if filled[i] += use; !c.yields(t) {
+					firm[i] += use
 				}
 			}
 		}
@@ -58,15 +77,20 @@
 		if s.job.standing == Pending && s.job.team >= 0 && len(s.waiting) > 0 && !c.filler(s.job) {
 			n := min(c.startable(s), c.room(p, s.job.team, s.job.spec.Need))
 			if typ := c.usualType(s.job); typ >= 0 {
-				demand[poolOf(pools, typ)] += float64(n) * s.job.spec.Need.Cores
+				use := float64(n) * c.takes(s.job.spec.Need, typ)
+				demand[poolOf(pools, typ)] += use
+				if !s.job.spec.Spot {
+					plain[poolOf(pools, typ)] += use
+				}
 			}
 		}
 	}
 	if k := len(p.demand); k == 0 || c.now >= p.demand[k-1].at+time.Second || len(p.demand[k-1].cores) != len(demand) {
-		p.demand = append(p.demand, sample{c.now, demand})
+		p.demand = append(p.demand, sample{c.now, demand, plain})
 	} else {
 		for i, d := range demand {
 			p.demand[k-1].cores[i] = max(p.demand[k-1].cores[i], d)
+			p.demand[k-1].plain[i] = max(p.demand[k-1].plain[i], plain[i])
 		}
 	}
 	for len(p.demand) > 0 && p.demand[0].at < c.now-c.cfg.Knobs.Window {
@@ -92,14 +116,12 @@
 	}
 	p.keep, p.fill = kept{pools, make([]float64, len(pools))}, nil
 	for i, types := range pools {
-		peak, mean := 0.0, 0.0
-		for _, s := range p.demand {
-			if len(s.cores) == len(pools) { // not from before a class was met
-				peak = max(peak, s.cores[i])
-				mean += s.cores[i] / float64(len(p.demand))
-			}
+		target, mean := c.target(p, func(s sample) []float64 { return s.cores }, i, len(pools))
+		ordinary, lastingly := c.target(p, func(s sample) []float64 { return s.plain }, i, len(pools))
+		if ours := c.ordinary(p, types); may && ours < ordinary && lastingly > 0 {
+			// Cheap machines that stand ready are none to those who may not use them.
+			c.hirePlain(p, types, ordinary-ours)
 		}
-		target := peak + mean*c.cfg.Knobs.SpareShare*min(1, math.Sqrt(chanceCores/max(mean, 1)))
 		p.keep.cores[i] = target
 		if capacity := c.capacity(p, types) - firm[i]; may && capacity < target && mean > 0 {
 			lasting := target - capacity
@@ -108,8 +130,21 @@
 			}
 			c.hireRoom(p, types, target-capacity, lasting)
 		}
-		c.returnIdle(p, types, target+filled[i])
+		c.returnIdle(p, types, target+filled[i], ordinary)
+	}
+}
+
+// target is what a pool should hold by the demand of late: its peak and a share of its
+// mean, which it returns as well.
+func (c *Core) target(p *part, of func(sample) []float64, pool, pools int) (target, mean float64) {
+	peak := 0.0
+	for _, s := range p.demand {
+		if d := of(s); len(d) == pools { // not from before a class was met
+			peak = max(peak, d[pool])
+			mean += d[pool] / float64(len(p.demand))
+		}
 	}
+	return peak + mean*c.cfg.Knobs.SpareShare*min(1, math.Sqrt(chanceCores/max(mean, 1))), mean
 }
 
 // chanceCores is the demand up to which the whole spare share is kept and queues
@@ -218,14 +253,21 @@
 // capacity counts the cores of machines of the types given that work, boot or
 // are being hired.
 func (c *Core) capacity(p *part, types uint64) float64 {
+	return c.ordinary(p, types) + c.coresOf(p, types, true)
+}
+
+// ordinary counts those that are no spot machines.
+func (c *Core) ordinary(p *part, types uint64) float64 { return c.coresOf(p, types, false) }
+
+func (c *Core) coresOf(p *part, types uint64, spot bool) float64 {
 	sum := 0.0
 	for _, h := range p.hostList() {
-		if h.typ >= 0 && types&(1<<h.typ) != 0 && h.recall == 0 && !h.failed && !h.expired && (h.state == up || h.state == booting) {
+		if h.typ >= 0 && types&(1<<h.typ) != 0 && h.spot == spot && h.recall == 0 && !h.failed && !h.expired && (h.state == up || h.state == booting) {
 			sum += c.types[h.typ].Total.Cores
 		}
 	}
 	for _, r := range p.hiring {
-		if types&(1<<r.typ) != 0 {
+		if types&(1<<r.typ) != 0 && r.op.Spot == spot {
 			sum += c.types[r.typ].Total.Cores * float64(r.op.Number)
 		}
 	}
@@ -405,6 +447,17 @@
 	}
 }
 
+// hirePlain rents ordinary machines for foreseen demand of work that may use no others.
+func (c *Core) hirePlain(p *part, types uint64, cores float64) {
+	for _, o := range c.offers(p) {
+		typ := c.typeIdx.known(o.Type)
+		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && !o.Spot && types&(1<<typ) != 0 {
+			c.hire(p, o, min(n, 4))
+			return
+		}
+	}
+}
+
 // mostHired is how many machines the cloud rents out at a time.
 const mostHired = 50
 
@@ -498,8 +551,9 @@
 }
 
 // returnIdle gives machines back that have been idle for a while and that the
-// recent demand does not ask for, dearest first.
-func (c *Core) returnIdle(p *part, types uint64, target float64) {
+// recent demand does not ask for, dearest first. Ordinary ones stay as far as work that
+// may use no others asks for them.
+func (c *Core) returnIdle(p *part, types uint64, target, ordinary float64) {
 	for _, n := range p.shortage {
 		if c.typesOf(n.job)&types != 0 {
 			return // it may yet go there
@@ -520,14 +574,16 @@
 		}
 		return idle[a].name < idle[b].name
 	})
-	capacity := c.capacity(p, types)
+	capacity, plain := c.capacity(p, types), c.ordinary(p, types)
 	var back []*host
 	for _, h := range idle {
 		cores := c.types[h.typ].Total.Cores
-		if capacity-cores < target {
+		if capacity-cores < target || !h.spot && plain-cores < ordinary {
 			continue
 		}
-		capacity -= cores
+		if capacity -= cores; !h.spot {
+			plain -= cores
+		}
 		back = append(back, h)
 	}
 	if len(back) > 0 {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -67,7 +67,7 @@
 		}
 		fill := 0.0
 		if fills {
-			if fill = c.fillOn(q, typ); fill < max(j.spec.Need.Cores, 1) {
+			if fill = c.fillOn(q, typ); fill < max(c.takes(j.spec.Need, typ), 1) {
 				continue
 			}
 		}
@@ -81,8 +81,8 @@
 				fits += d.FreeFor(step, now, now+1)
 			}
 		}
-		if fills && j.spec.Need.Cores > 0 {
-			fits = min(fits, count(fill/j.spec.Need.Cores))
+		if fills {
+			fits = min(fits, count(fill/c.takes(j.spec.Need, typ)))
 		}
 		if fits > most {
 			best, most = q, fits
@@ -200,7 +200,10 @@
 	i := poolOf(c.pools(), typ)
 	for _, s := range p.demand {
 		if i < len(s.cores) {
-			s.cores[i] = max(s.cores[i]-float64(tasks)*j.spec.Need.Cores, 0)
+			s.cores[i] = max(s.cores[i]-float64(tasks)*c.takes(j.spec.Need, typ), 0)
+			if !j.spec.Spot {
+				s.plain[i] = max(s.plain[i]-float64(tasks)*c.takes(j.spec.Need, typ), 0)
+			}
 		}
 	}
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -238,18 +238,20 @@
 		} else {
 			ofType[h.typ]++
 		}
-		// One use stands for all: it ends when their mean does, by cores. Whole
+		// One use stands for all: it ends when their mean does, by load. Whole
 		// milliseconds add up to the same in any order.
-		sum := 0.0
+		sum, uses := 0.0, 0.0
 		for _, t := range h.tasks {
 			if c.yields(t) {
 				continue // it gives way to what is dealt here
 			}
 			g.Used = g.Used.plus(t.need, 1)
-			sum += float64((c.expectedEnd(t)-c.now)/time.Millisecond) * t.need.Cores
+			use := c.takes(t.need, h.typ)
+			sum += float64((c.expectedEnd(t)-c.now)/time.Millisecond) * use
+			uses += use
 		}
-		if g.Used.Cores > 0 {
-			g.For = roughly(sum / 1000 / g.Used.Cores)
+		if uses > 0 {
+			g.For = roughly(sum / 1000 / uses)
 		}
 		for img := range h.images {
 			held[[2]int{img, h.typ}]++
@@ -301,9 +303,9 @@
 		}
 		i := poolOf(pools, typ)
 		if s.job.spec.Service {
-			served[i] += float64(len(s.tasks)+c.startable(s)) * s.job.spec.Need.Cores
+			served[i] += float64(len(s.tasks)+c.startable(s)) * c.takes(s.job.spec.Need, typ)
 		} else if len(s.waiting) > 0 {
-			work[i][min(s.job.spec.Priority, priorities-1)] += float64(c.startable(s)) * s.job.spec.Need.Cores * c.estimate(s.job)
+			work[i][min(s.job.spec.Priority, priorities-1)] += float64(c.startable(s)) * c.takes(s.job.spec.Need, typ) * c.estimate(s.job)
 		}
 	}
 	var out []Backlog
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -421,14 +421,14 @@
 			continue // whole or not at all, and only once the last try is off its machines
 		}
 		var starts []plan.Placement
-		later, inTime, after := 0, 0, 60.0
+		later, inTime, after, ends := 0, 0, 60.0, 0.0
 		looks += len(devices)
 		step := c.step(j)
 		all, devices := all, devices
 		if fit := c.avoiding(j, all); len(fit) < len(all) {
 			all, devices = fit, devicesOf(fit)
 		}
-		keeps := c.keeps(s) && j.spec.Need.Cores > 0
+		keeps := c.keeps(s)
 		if keeps {
 			if p.keep.pools == nil {
 				continue // a new owner has yet to see what others need
@@ -436,7 +436,7 @@
 			if left == nil {
 				left = c.fillRoom(p) // those who come first have been placed
 			}
-			fit, most := p.keep.fillable(j, all, left)
+			fit, most := c.fillable(&p.keep, j, all, left)
 			all, devices, n = fit, devicesOf(fit), min(n, most)
 		} else if c.filler(j) && (c.overdue(s) || c.leftOut(s)) {
 			n = min(n, beginWith)
@@ -445,15 +445,18 @@
 			h := all[pl.Device].host
 			if keeps && h.state == up {
 				room := &left[poolOf(p.keep.pools, h.typ)]
-				if *room < j.spec.Need.Cores {
+				use := c.takes(j.spec.Need, h.typ)
+				if *room < use {
 					return true
 				}
-				*room -= j.spec.Need.Cores
+				*room -= use
 			}
 			if !j.spec.Gang && (pl.Start > now+soon || h.state != up) {
 				later++
-				after = min(after, pl.Start-now)
-				if pl.Start <= now+makesSense {
+				after, ends = min(after, pl.Start-now), max(ends, pl.Finish)
+				if h.state == booting && c.now > h.eta {
+					ends = math.Inf(1) // it should be up and is not: nobody knows when
+				} else if pl.Start <= now+makesSense {
 					inTime++
 				}
 				return later < ahead
@@ -514,7 +517,11 @@
 				offers = yielding
 			}
 			looks += len(offers)
-			late -= max(c.makeRoom(p, s, late-inTime, offers)-inTime, 0)
+			by := math.Inf(1) // when all of them run without that
+			if planned >= n {
+				by = ends - step.Comp
+			}
+			late -= max(c.makeRoom(p, s, late-inTime, by, offers)-inTime, 0)
 		}
 		if late > 0 && j.doubt == 0 {
 			p.shortage = append(p.shortage, need{j, late, after})
@@ -690,7 +697,7 @@
 	if c.filler(j) {
 		for z, p := range c.parts {
 			for t := range c.types {
-				if c.fillOn(p, t) < spec.Need.Cores {
+				if c.fillOn(p, t) < c.takes(spec.Need, t) {
 					queues[z*len(c.types)+t] += fullCost
 				}
 			}
