No dear room while any part can hire cheap machines; old work goes there too

Cause: a part without cheap machines left hired dear ones for its peak and for what had waited for longer than a boot takes, though others could hire cheap ones. Where a boot takes a minute all work of the start has waited that long: 96 ordinary machines of one zone in half a minute, by debug log.

Change: dear room is hired only when no other part can hire cheap machines of its types, and waiting work of any age is sent there first. The log says at debug what machines are hired for.

--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -340,21 +340,23 @@
 				short = min(short, beginWith)
 			}
 		}
-		if !o.Spot && n.job.spec.Spot && c.now < n.job.since+boot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
+		if !o.Spot && n.job.spec.Spot && c.capacity(p, c.typesOf(n.job)) > chanceCores {
 			// Dear machines only for what still waits when they are up. What has
 			// waited as long as that already is not put off by a reckoning: the
 			// queue counts machines that this very job may not be able to use, and
 			// on a few machines a queue says little of when it ends.
-			queue := c.queueFor(p, n.job.spec.Priority)[typ]
-			if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
-				return
+			if c.now < n.job.since+boot {
+				queue := c.queueFor(p, n.job.spec.Priority)[typ]
+				if short *= max(1-seconds(boot)/max(queue, 0.1), 0); short < 0.5 {
+					return
+				}
 			}
 			if c.sendAway(p, n.job, short) {
 				return
 			}
 		}
 		want := short / float64(k)
-		if count := c.hire(p, o, count(math.Ceil(want-0.01))); count > 0 {
+		if count := c.hire(p, o, count(math.Ceil(want-0.01)), "waiting work"); count > 0 {
 			coming[kind] += max(float64(count)-want, 0)
 		}
 		return
@@ -405,6 +407,21 @@
 	return best
 }
 
+// cheapElsewhere says whether any other part can hire spot machines of the types given.
+func (c *Core) cheapElsewhere(p *part, types uint64) bool {
+	for _, q := range c.parts {
+		if q == p || !c.current(q) || c.darkFor(q) {
+			continue
+		}
+		for t := range c.types {
+			if types&(1<<t) != 0 && contains(c.types[t].Zones, q.name) && !c.isScarce(q, Offer{c.types[t].Name, true}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // priceFor is an offer's price per core for a job; types that others cannot do
 // without count as dearer.
 func (c *Core) priceFor(j *job, o Offer) float64 {
@@ -437,11 +454,11 @@
 		if !o.Spot && c.queueFor(p, priorities)[typ] < c.types[typ].BootS {
 			cores = lasting
 		}
-		if !o.Spot && c.spotElsewhere(p, types, priorities-1) != nil {
+		if !o.Spot && c.cheapElsewhere(p, types) {
 			return
 		}
 		if n := count(cores/c.types[typ].Total.Cores + 0.5); n > 0 && types&(1<<typ) != 0 {
-			c.hire(p, o, min(n, 4))
+			c.hire(p, o, min(n, 4), "room")
 			return
 		}
 	}
@@ -451,8 +468,8 @@
 func (c *Core) hirePlain(p *part, types uint64, cores float64) {
 	for _, o := range c.offers(p) {
 		typ := c.typeIdx.known(o.Type)
-		if n := int(cores/c.types[typ].Total.Cores + 0.5); n > 0 && !o.Spot && types&(1<<typ) != 0 {
-			c.hire(p, o, min(n, 4))
+		if n := count(cores/c.types[typ].Total.Cores + 0.5); n > 0 && !o.Spot && types&(1<<typ) != 0 {
+			c.hire(p, o, min(n, 4), "ordinary room")
 			return
 		}
 	}
@@ -465,7 +482,7 @@
 // is wanted for one job after the other goes into one request per kind, of which one
 // is under way at a time: with a request for each job, and few calls a second, a crowd
 // of jobs waited half a minute for the last of its machines to be asked for.
-func (c *Core) hire(p *part, o Offer, count int) int {
+func (c *Core) hire(p *part, o Offer, count int, why string) int {
 	if count <= 0 {
 		return 0
 	}
@@ -477,6 +494,7 @@
 			return 0
 		}
 		more := min(count, mostHired-r.op.Number)
+		c.note(0, "hiring more", "name", r.op.Name, "number", more, "for", why)
 		r.op.Number += more
 		return more
 	}
@@ -484,6 +502,7 @@
 		return 0
 	}
 	count = min(count, mostHired)
+	c.note(0, "to hire", "type", o.Type, "spot", o.Spot, "number", count, "for", why, "part", p.name)
 	p.hireSeq++
 	// The token makes the name this ownership's own, the counter this request's.
 	name := fmt.Sprintf("r-%s-%d-%d", p.name, p.token, p.hireSeq)
