Machines that listings no longer show are given back without waiting for silence

Cause: an owner that has just begun waits three reports and 14 s, here 24 s, before it gives a silent machine back.

Change: a machine that should have reported and that two listings in a row miss is given back. Absence proves nothing, the answer to the return does.

--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -34,6 +34,7 @@
 	lastHeard    time.Duration
 	unread       time.Duration // how long since then this controller stood still and heard nobody
 	lastAnswer   time.Duration
+	unlisted     int  // listings in a row without it
 	expired      bool // its lease has run out for certain
 	unheard      int  // calls to it without an answer, each after a fresh report
 	unheardAt    time.Duration
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// unlistedTwice is how many listings in a row must miss a machine that should have
+// reported meanwhile before it is given back. A machine once listed stays so until it is
+// gone; a list may be old, and this one may be newer than any, so absence alone proves
+// nothing: the answer to the return does.
+const unlistedTwice = 2
+
 // keepHosts looks after every machine of the parts owned here.
 func (c *Core) keepHosts() {
 	c.listHosts()
@@ -136,6 +142,9 @@
 		if cutOff || c.now < p.loadedAt+c.cfg.Report*3 {
 			limit = c.cfg.Lease + 15*time.Second
 		}
+		if h.unlisted >= unlistedTwice && silent > c.cfg.Report*5/4+time.Second {
+			return "no longer listed"
+		}
 		if silent > limit {
 			return "silent"
 		}
@@ -214,7 +223,9 @@
 			c.listAt = c.now + 2*time.Second
 			return
 		}
+		listed := make(map[string]bool, len(res.Hosts))
 		for _, l := range res.Hosts {
+			listed[l.Name] = true
 			p := c.parts[c.zone(l.Zone)]
 			if _, gone := p.gone[l.Name]; !p.mine || gone {
 				continue
@@ -242,8 +253,14 @@
 			}
 		}
 		for p, tenure := range sent {
-			if p.mine && p.tenure == tenure {
-				p.fleetListed = true
+			if !p.mine || p.tenure != tenure {
+				continue
+			}
+			p.fleetListed = true
+			for _, h := range p.hostList() {
+				if h.unlisted++; listed[h.name] || h.state != up || c.now < h.since+3*c.cfg.ListLag {
+					h.unlisted = 0
+				}
 			}
 		}
 	})
--- a/internal/fake/gpu_test.go
+++ b/internal/fake/gpu_test.go
@@ -179,3 +179,42 @@
 		ends(t, w, j, 15*time.Minute)
 	}
 }
+
+func TestMachinesWithoutACardLeftAreFull(t *testing.T) {
+	w := cardDay(t, 907, 10*time.Second, 20)
+	array := sweep("job-1", 64, 200)
+	array.Zone = "a"
+	w.Submit(array, 200*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 64)))
+	require.True(t, w.Until(60*time.Second, func() bool {
+		return w.machines(func(k *Worker) bool { return !k.gone }) > 8
+	}), "room is kept for more: sixteen cores without a card are none")
+}
+
+func TestReplicasFindOrdinaryRoomReady(t *testing.T) {
+	w := cardDay(t, 908, 60*time.Second, 60)
+	w.Submit(liveService("job-1", 80), 0)
+	require.True(t, w.Until(150*time.Second, started(w, "job-1", 80)))
+	w.Run(90 * time.Second)
+	require.LessOrEqual(t, w.machines(func(k *Worker) bool { return !k.gone && !k.spot }), 15, "not more than a machine or two too many in a zone")
+	w.Submit(liveService("job-2", 8), 0)
+	assert.True(t, w.Until(15*time.Second, started(w, "job-2", 8)), "no replica waits for a machine to boot")
+}
+
+func TestANewOwnerGivesMachinesBackThatAreNoLongerListed(t *testing.T) {
+	w := cardDay(t, 909, 8*time.Second, 6)
+	array := sweep("job-1", 8, 300)
+	array.Zone = "b"
+	w.Submit(array, 300*time.Second)
+	require.True(t, w.Until(60*time.Second, started(w, "job-1", 8)))
+	w.Run(20 * time.Second)
+	for k := range w.On("job-1") {
+		w.Cloud.Take(k.name) // without a notice
+	}
+	for _, n := range w.Nodes {
+		n.Restart(time.Second)
+	}
+	claimed := w.Now + 4*time.Second // about then
+	require.True(t, w.Until(time.Minute, started(w, "job-1", 8)))
+	assert.Less(t, w.Now-claimed, 30*time.Second, "found gone, and started again on a machine that boots in eight seconds")
+}
