--- a/internal/fake/troubles.go
+++ b/internal/fake/troubles.go
@@ -103,8 +103,8 @@
 	}},
 	{"cancel-now", 0, 20 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.CancelNow(8, d) }},
 	{"cancel-at-end", 10 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cancelEnds = w.lasting(d) }},
-	{"close-looks", 5 * time.Second, 60 * time.Second, 0, func(w *World, _ Target, d time.Duration) { w.CloseLooks(d, 0.1) }},
-	{"odd-requests", 5 * time.Second, 60 * time.Second, 0, func(w *World, _ Target, d time.Duration) { w.OddRequests(d) }},
+	{"close-looks", 5 * time.Second, 60 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.CloseLooks(d, 0.1) }},
+	{"odd-requests", 5 * time.Second, 60 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.OddRequests(d) }},
 }
 
 // TroubleNamed finds a trouble.
