--- a/internal/fake/meet_workers_test.go
+++ b/internal/fake/meet_workers_test.go
@@ -595,7 +595,8 @@
 
 func TestNewMachinesUpAtOnceWhileWritesLagAndTheLeaderEnds(t *testing.T) {
 	// Machines are up within two seconds, each transaction takes as long, and some get
-	// no answer. The leader ends once before and once after its placements are written.
+	// no answer. The leader ends once before and once after its placements are written,
+	// and nobody reaches the machines of then for a while.
 	for _, after := range []bool{false, true} {
 		cfg := Settings()
 		w := New(115, cfg)
@@ -607,6 +608,9 @@
 		end := func(node string) {
 			ended = node
 			for _, x := range w.Nodes {
+				for _, name := range slices.Sorted(maps.Keys(w.Workers)) {
+					w.Cut(x.Name, name, 8*time.Second, false)
+				}
 				if x.Name == node {
 					x.Restart(300 * time.Millisecond)
 				}
@@ -660,19 +664,20 @@
 
 func TestLeadersChangeTenTimesInTwoMinutes(t *testing.T) {
 	// They end and come back, hand parts over and take them home again; also while
-	// the state service is out, and all within a second of each other. Every third
-	// launch is held up, and copies of all machines' reports await each new leader.
+	// the state service is out, and all within a second of each other. What a leader
+	// launches last is held up, its machines don't hear the next one for a while, and
+	// copies of all machines' reports await that one.
 	for _, outage := range []bool{false, true} {
 		w := idleMachines(t, 116, 6, "a", "b", "c")
-		claims, launches := 0, 0
+		claims, held, last := 0, 0, ""
+		late := map[*Worker]bool{}
 		w.Held = func(k *Worker, what any) time.Duration {
-			if op, ok := what.(core.OrdersOp); ok && len(op.Orders) > 0 && op.Orders[0].Verb == core.Launch {
-				if launches++; launches%3 == 0 {
-					k.nextAt = w.Now + 4*time.Second
-					return 7 * time.Second
-				}
+			if last == "" || !launches(what, last) {
+				return 0
 			}
-			return 0
+			held++
+			late[k], k.nextAt = true, w.Now+3*time.Second
+			return 7 * time.Second
 		}
 		var kept []core.Report
 		w.OnClaim(func(_, zone string) {
@@ -710,8 +715,16 @@
 			}
 			s := plain(fmt.Sprintf("job-3%d", i), 2)
 			s.Need.Cores = 2
+			last = s.ID
 			jobs = append(jobs, w.Submit(s, 9*time.Second))
 			w.Run(time.Second)
+			last = ""
+			for _, k := range alive(w, "a") {
+				if late[k] {
+					w.Deafen(k, 7*time.Second)
+				}
+			}
+			clear(late)
 			if i%4 == 3 { // all end, and one is back first
 				for j, n := range w.Nodes {
 					n.Restart(time.Duration(50+900*j) * time.Millisecond)
@@ -722,7 +735,7 @@
 			w.Run(11 * time.Second)
 		}
 		assert.GreaterOrEqual(t, claims, 10)
-		assert.Greater(t, launches, 9, "every third is held up")
+		assert.GreaterOrEqual(t, held, 4, "launches were under way")
 		for _, j := range append(jobs, long) {
 			ends(t, w, j, 3*time.Minute)
 		}
@@ -868,3 +881,43 @@
 		assert.Less(t, j.Began-j.Came, 20*time.Second, "%s is not kept waiting", j.Spec.ID)
 	}
 }
+
+func TestAllEndAsAPartIsHandedHomeAndOneReturnsWithinASecond(t *testing.T) {
+	// The launches that the interim owner sent last are still under way, and their
+	// machines don't hear whoever returns.
+	w := idleMachines(t, 121, 6, "a", "b", "c")
+	w.Nodes[0].Restart(7 * time.Second)
+	inFlight, met := map[*Worker]time.Duration{}, 0
+	w.Held = func(k *Worker, what any) time.Duration {
+		if op, ok := what.(core.OrdersOp); ok && len(op.Orders) > 0 && op.Orders[0].Verb == core.Launch && met == 0 {
+			inFlight[k], k.nextAt = w.Now+5*time.Second, w.Now+3*time.Second
+			return 5 * time.Second
+		}
+		return 0
+	}
+	w.Store.Carried = append(w.Store.Carried, func(node string, txn core.Txn, res core.CommitResult) {
+		if met > 0 || node == "node-0" || !changes(txn, "part/a") || txn.Apply[0].Value != nil {
+			return
+		}
+		for i, n := range w.Nodes {
+			n.Restart([]time.Duration{8 * time.Second, 300 * time.Millisecond, 9 * time.Second}[i])
+		}
+		for _, k := range alive(w, "a") {
+			if w.Now < inFlight[k] {
+				met++
+				w.Deafen(k, 6*time.Second)
+			}
+		}
+	})
+	var jobs []*Job
+	for i := range 20 {
+		s := plain(fmt.Sprintf("job-1%d", i), 1)
+		s.Need.Cores = 2
+		jobs = append(jobs, w.Submit(s, 8*time.Second))
+		w.Run(1200 * time.Millisecond)
+	}
+	require.Positive(t, met, "it was handed home with launches under way")
+	for _, j := range jobs {
+		ends(t, w, j, 2*time.Minute)
+	}
+}
