Operators' settings: keys given twice, unknown sections and halves of schedules are errors

The last of two equal keys won without a word, a section with a wrong name and no key passed, a frontier of 1.5 was cut off, and the library's errors ended with a line break where one line is promised. Each is refused now with section and key; the test fails for each on the code before.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"strconv"
+	"strings"
 
 	"gopkg.in/ini.v1"
 
@@ -29,27 +31,28 @@
 type Knob struct {
 	Section, Key, Default, Doc string
 	Min, Max                   float64
+	whole                      bool
 	field                      func(*Operator) *float64
 }
 
 // Knobs is the one table of the operators' settings and their defaults.
 func Knobs() []Knob {
 	return []Knob{
-		{"planning", "fetch_s_per_gb", "5", "seconds to fetch one GB, until fetches were seen", 0.01, 1000,
+		{"planning", "fetch_s_per_gb", "5", "seconds to fetch one GB, until fetches were seen", 0.01, 1000, false,
 			func(o *Operator) *float64 { return &o.FetchSPerGB }},
-		{"planning", "frontier", "64", "partial schedules kept at most while a pipeline is planned", 1, 4096,
+		{"planning", "frontier", "64", "partial schedules kept at most while a pipeline is planned", 1, 4096, true,
 			func(o *Operator) *float64 { return &o.Frontier }},
-		{"hiring", "keep_idle_s", "25", "idle seconds after which a machine that is not needed is returned", 1, 86400,
+		{"hiring", "keep_idle_s", "25", "idle seconds after which a machine that is not needed is returned", 1, 86400, false,
 			func(o *Operator) *float64 { return &o.KeepIdleS }},
-		{"hiring", "window_s", "40", "seconds of past demand that the fleet is sized for", 5, 86400,
+		{"hiring", "window_s", "40", "seconds of past demand that the fleet is sized for", 5, 86400, false,
 			func(o *Operator) *float64 { return &o.WindowS }},
-		{"hiring", "spare_share", "0.2", "share of the average demand that is kept free on top of it", 0, 10,
+		{"hiring", "spare_share", "0.2", "share of the average demand that is kept free on top of it", 0, 10, false,
 			func(o *Operator) *float64 { return &o.SpareShare }},
-		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back, at least a late report and a lost one", 2, 86400,
+		{"hiring", "silent_return_s", "14", "seconds of a machine's silence after which it is given back, at least a late report and a lost one", 2, 86400, false,
 			func(o *Operator) *float64 { return &o.SilentReturnS }},
-		{"parts", "hold_s", "8", "life of this controller's lease at the state service, at most 28% of a worker's", 1, 600,
+		{"parts", "hold_s", "8", "life of this controller's lease at the state service, at most 28% of a worker's", 1, 600, false,
 			func(o *Operator) *float64 { return &o.HoldS }},
-		{"parts", "grace_s", "2", "wait before another zone's free part is taken", 0, 600,
+		{"parts", "grace_s", "2", "wait before another zone's free part is taken", 0, 600, false,
 			func(o *Operator) *float64 { return &o.GraceS }},
 	}
 }
@@ -101,26 +104,35 @@
 
 // ParseOperator reads the operators' settings; keys it does not know are errors.
 func ParseOperator(data []byte) (*Operator, error) {
-	f, err := ini.Load(data)
-	if err != nil {
-		return nil, fmt.Errorf("operator settings: %w", err)
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true}, data)
+	if err != nil { // the library ends some of its errors with the line they are about
+		return nil, fmt.Errorf("operator settings: %s", strings.Join(strings.Fields(err.Error()), " "))
 	}
-	known := map[[2]string]Knob{}
+	known, sections := map[[2]string]Knob{}, map[string]bool{ini.DefaultSection: true}
 	for _, k := range Knobs() {
-		known[[2]string{k.Section, k.Key}] = k
+		known[[2]string{k.Section, k.Key}], sections[k.Section] = k, true
 	}
 	o := DefaultOperator()
 	for _, sec := range f.Sections() {
+		if !sections[sec.Name()] {
+			return nil, fmt.Errorf("operator settings: [%s]: unknown section", sec.Name())
+		}
 		for _, key := range sec.Keys() {
 			k, ok := known[[2]string{sec.Name(), key.Name()}]
 			if !ok {
 				return nil, fmt.Errorf("operator settings: [%s] %s: unknown key", sec.Name(), key.Name())
 			}
+			if len(key.ValueWithShadows()) > 1 {
+				return nil, fmt.Errorf("operator settings: [%s] %s: given twice", k.Section, k.Key)
+			}
 			v, err := key.Float64()
 			if err != nil || !(v >= k.Min && v <= k.Max) {
 				return nil, fmt.Errorf("operator settings: [%s] %s: %q is not a number from %g to %g",
 					k.Section, k.Key, key.Value(), k.Min, k.Max)
 			}
+			if k.whole && v != math.Trunc(v) {
+				return nil, fmt.Errorf("operator settings: [%s] %s: %q is not a whole number", k.Section, k.Key, key.Value())
+			}
 			*k.field(o) = v
 		}
 	}
