--- a/internal/fake/meet_users_test.go
+++ b/internal/fake/meet_users_test.go
@@ -80,6 +80,44 @@
 	}
 }
 
+// anyUp is a machine that is up, or nil.
+func anyUp(w *World) *Worker {
+	for _, name := range sortedKeys(w.Workers) {
+		if k := w.Workers[name]; k.started && !k.gone {
+			return k
+		}
+	}
+	return nil
+}
+
+func TestUsersThroughEveryTroubleThatTheWorldKnows(t *testing.T) {
+	for i, trouble := range Troubles {
+		t.Run(trouble.Name, func(t *testing.T) {
+			t.Parallel()
+			w := day(t, 200+uint64(i))
+			w.CloseLooks(time.Minute, 0.2)
+			w.OddRequests(time.Minute)
+			at, struck := Target{Node: w.Nodes[0]}, false
+			for i := range 40 {
+				job := w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], 1+i%3, 1), time.Duration(1+i%5)*time.Second)
+				w.Run(time.Second)
+				if at.Worker = anyUp(w); i >= 12 && !struck && at.Worker != nil {
+					at.Job, struck = job, true
+					trouble.Strike(w, at, (trouble.Least+trouble.Most)/2)
+				}
+			}
+			require.True(t, struck)
+			for _, id := range sortedJobs(w.Jobs) {
+				if j := w.Jobs[id]; !j.Bad {
+					ends(t, w, j, 5*time.Minute)
+				}
+			}
+			assert.Greater(t, w.Users.Looks, 300)
+			assert.Greater(t, w.Users.Repeats+w.Users.Stopped+w.Users.Nobodys+w.Users.Bad, 30)
+		})
+	}
+}
+
 func TestCloseLooksNeverGetAnOlderAnswer(t *testing.T) {
 	throughOddMoments(t, func(w *World) { w.CloseLooks(time.Minute, 0.3) }, func(t *testing.T, w *World) {
 		assert.Greater(t, w.Users.Looks, 500)
