--- a/internal/fake/meet_workers_test.go
+++ b/internal/fake/meet_workers_test.go
@@ -116,7 +116,7 @@
 		switch {
 		case !launches(what, "job-1"):
 		case held == nil: // reports when the other task's failure is known
-			held, k.nextAt = k, w.Now+2500*time.Millisecond
+			held, k.nextAt = k, w.Now+3200*time.Millisecond
 			return 9 * time.Second
 		}
 		return 0
