--- a/internal/fake/gpu_test.go
+++ b/internal/fake/gpu_test.go
@@ -45,17 +45,6 @@
 		Apart: true, Image: "svc", ImageGB: 1}
 }
 
-// machines counts those hired that a test asks for.
-func (w *World) machines(which func(*Worker) bool) int {
-	n := 0
-	for _, k := range w.Workers {
-		if which(k) {
-			n++
-		}
-	}
-	return n
-}
-
 func moves(w *World) (n uint64) {
 	for _, node := range w.Nodes {
 		n += node.Core.Stats().Moves
@@ -63,17 +52,6 @@
 	return n
 }
 
-func accepted(jobs []*Job) func() bool {
-	return func() bool {
-		for _, j := range jobs {
-			if !j.Accepted {
-				return false
-			}
-		}
-		return true
-	}
-}
-
 func TestAPartWhoseMachinesAllBootIsNotDark(t *testing.T) {
 	w := cardDay(t, 901, 60*time.Second, 20)
 	for i := range 9 {
--- a/internal/fake/meet_quota_test.go
+++ b/internal/fake/meet_quota_test.go
@@ -58,10 +58,10 @@
 	w := day(t, 181)
 	idleRoom(t, w, "a", "b", "c")
 	ends(t, w, inZone(w, "job-1", "a", 1, 2*time.Second), time.Minute)
-	cutFromPeers(w, w.Nodes[0], 40*time.Second) // a's owner hears of no other grants
+	w.cutPeers(w.Nodes[0], 40*time.Second, false) // a's owner hears of no other grants
 	long := inZone(w, "job-2", "b", 2, 90*time.Second)
 	require.True(t, w.Until(6*time.Second, started(w, "job-2", 2)), "b's grant grows")
-	cutFromPeers(w, w.Nodes[1], 40*time.Second) // and b's of nothing that would have it write its own again
+	w.cutPeers(w.Nodes[1], 40*time.Second, false) // and b's of nothing that would have it write its own again
 	races := quotaRaces(w, "blue")
 	w.Until(20*time.Second, func() bool { return *races > 0 }) // a gives back what it no longer needs
 	other := inZone(w, "job-3", "c", 4, 5*time.Second)         // 8 cores are b's
--- a/internal/fake/meet_users_test.go
+++ b/internal/fake/meet_users_test.go
@@ -33,7 +33,7 @@
 	"all restart":           func(w *World) { restartAll(w) },
 	"store refuses one":     func(w *World) { w.Store.Refuse("node-0", 20*time.Second) },
 	"one alone":             func(w *World) { w.Alone(w.Nodes[0], 15*time.Second, true) },
-	"one cut from peers":    func(w *World) { cutFromPeers(w, w.Nodes[0], 30*time.Second) },
+	"one cut from peers":    func(w *World) { w.cutPeers(w.Nodes[0], 30*time.Second, false) },
 	"one stands still":      func(w *World) { w.Nodes[0].Freeze(6 * time.Second) },
 	"store away":            func(w *World) { w.Store.Outage(6 * time.Second) },
 	"one refused, then all": func(w *World) { w.Store.Refuse("node-1", 14*time.Second); w.Store.Outage(5 * time.Second) },
@@ -45,14 +45,6 @@
 	}
 }
 
-func cutFromPeers(w *World, n *Node, d time.Duration) {
-	for _, o := range w.Nodes {
-		if o != n {
-			w.Cut(n.Name, o.Name, d, false)
-		}
-	}
-}
-
 // throughOddMoments plays half a minute of short jobs with a trouble in the middle.
 func throughOddMoments(t *testing.T, users func(w *World), check func(t *testing.T, w *World)) {
 	seed := uint64(100)
@@ -251,7 +243,7 @@
 
 func TestASubmissionRepeatedWhereTheJobIsNotKnownYetGetsItsState(t *testing.T) {
 	w := day(t, 140)
-	cutFromPeers(w, w.Nodes[0], 10*time.Minute)
+	w.cutPeers(w.Nodes[0], 10*time.Minute, false)
 	met := 0
 	w.Store.Lose = func(node string, txn core.Txn) (bool, time.Duration) {
 		for _, g := range txn.Guards {
--- a/internal/fake/meet_workers_test.go
+++ b/internal/fake/meet_workers_test.go
@@ -654,12 +654,7 @@
 
 // placesAny says whether a transaction gives any task a machine.
 func placesAny(x core.Txn) bool {
-	for _, s := range x.Apply {
-		if places(s) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(x.Apply, places)
 }
 
 func TestLeadersChangeTenTimesInTwoMinutes(t *testing.T) {
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -42,12 +42,16 @@
 	for i := range n {
 		jobs = append(jobs, w.Submit(spec(fmt.Sprintf("job-%d", i), []string{"red", "blue"}[i%2], tasks, 2), run))
 	}
-	require.True(t, w.Until(time.Minute, func() bool {
-		return !slices.ContainsFunc(jobs, func(j *Job) bool { return !j.Accepted })
-	}), "all are accepted")
+	require.True(t, w.Until(time.Minute, accepted(jobs)), "all are accepted")
 	return jobs
 }
 
+func accepted(jobs []*Job) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(jobs, func(j *Job) bool { return !j.Accepted })
+	}
+}
+
 // allGone says whether every machine has been given back or has died.
 func allGone(w *World) func() bool {
 	return func() bool {
--- a/internal/fake/trouble_test.go
+++ b/internal/fake/trouble_test.go
@@ -449,9 +449,14 @@
 
 // returned counts the machines that were given back.
 func returned(w *World) int {
+	return w.machines(func(k *Worker) bool { return k.deleted })
+}
+
+// machines counts those hired that a test asks for.
+func (w *World) machines(which func(*Worker) bool) int {
 	n := 0
 	for _, k := range w.Workers {
-		if k.deleted {
+		if which(k) {
 			n++
 		}
 	}
