Deal new work to the zones that are used least, and dear machines as the last resort

Services went to the same two zones for ever.

Change: a machine that would have to be hired counts as later the more of its kind the zone has beside the others, what was dealt there in the last moments included; an ordinary one counts 15 s later for work that may use spot machines. The dealing, the market and the ranking of jobs have files of their own, moved without a change.

--- /dev/null
+++ b/internal/core/dealing.go
@@ -0,0 +1,270 @@
+package core
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"roadcleat/internal/plan"
+)
+
+// viewDevices is another part's machines by its owner's last word.
+func (c *Core) viewDevices(p *part) []device {
+	if p.devices != nil || p.view == nil || c.now > p.viewAt+10*time.Second {
+		return p.devices
+	}
+	now := seconds(p.viewAt)
+	nth := make([]float64, len(c.types)) // machines of a type so far
+	for i := range p.view.Hosts {
+		v := &p.view.Hosts[i]
+		typ := c.typeIdx.known(v.Type)
+		if typ < 0 {
+			continue
+		}
+		for range min(v.Count, 5000) {
+			d := &plan.Device{Kind: c.kind(p.zone, typ, v.Spot), Total: c.types[typ].Total.plan(), Up: now + v.Up,
+				SPerGB: c.fetchRate(typ), Slow: 1, FetchAt: now + v.FetchAt}
+			if v.Used.Cores > 0 || v.Used.Cards > 0 {
+				d.Uses = append(make([]plan.Use, 0, 4), plan.Use{Start: 0, End: now + v.For, Amount: v.Used.plan()})
+			}
+			if v.Up == 0 {
+				// Which machines hold an image is not told, only how many do: it
+				// is dealt out evenly.
+				nth[typ]++
+				for _, s := range p.view.Images {
+					if s.Type == v.Type && math.Floor(nth[typ]*s.Share) > math.Floor((nth[typ]-1)*s.Share) {
+						d.Images = append(d.Images, plan.Held{Image: c.images.of(s.Image)})
+					}
+				}
+			}
+			p.devices = append(p.devices, device{d, p.zone, nil})
+		}
+	}
+	return p.devices
+}
+
+// partDevices is a part's machines: by own knowledge, or by its owner's word.
+func (c *Core) partDevices(p *part) []device {
+	if !p.mine || !p.loaded {
+		return c.viewDevices(p)
+	}
+	if p.devices == nil || c.now > p.devicesAt+500*time.Millisecond {
+		p.devices, p.devicesAt = nil, c.now
+		for _, h := range p.hostList() {
+			if h.planned(c.now) {
+				p.devices = append(p.devices, c.hostDevice(h, true))
+			}
+		}
+	}
+	return p.devices
+}
+
+// deal splits a new job over the parts: each task to the part of its
+// earliest-finish machine, as the job's limits on zones allow.
+func (c *Core) deal(spec *Spec) map[string]ranges {
+	j := &job{id: spec.ID, spec: *spec, image: -1, class: c.classes.of(spec.Class), team: c.teams.known(spec.Team)}
+	if spec.Image != "" {
+		j.image = c.imageOf(spec)
+	}
+	step := c.step(j)
+	plain, queues := step.Cost, make([]float64, len(c.parts)*len(c.types))
+	for z, p := range c.parts {
+		copy(queues[z*len(c.types):], c.queueFor(p, spec.Priority))
+	}
+	if c.filler(j) {
+		for z, p := range c.parts {
+			for t := range c.types {
+				if c.fillOn(p, t) < c.takes(spec.Need, t) {
+					queues[z*len(c.types)+t] += fullCost
+				}
+			}
+		}
+	}
+	step.Cost = func(kind int) float64 { return plain(kind) + queues[kind/2] }
+	byZone := make([][]device, len(c.parts))
+	have := c.rentedMachines()
+	for z, p := range c.parts {
+		if spec.Zone != "" && p.name != spec.Zone || !c.zoneHolds(j, p) {
+			continue
+		}
+		byZone[z] = c.partDevices(p)
+		byZone[z] = append(byZone[z][:len(byZone[z]):len(byZone[z])], c.market(p, j, queues[z*len(c.types):], have)...)
+	}
+	counts := make([]int, len(c.parts))
+	now := seconds(c.now)
+	if spec.OneZone || spec.Gang {
+		// A gang is placed in one transaction of one owner, so it stays together.
+		counts[c.bestZone(step, spec.Tasks, byZone, now)] = spec.Tasks
+	} else {
+		most := spec.Tasks
+		if spec.Apart {
+			most = (spec.Tasks + 1) / 2
+		}
+		c.spreadOver(step, spec.Tasks, most, c.placedAtOnce(j), byZone, counts, now)
+		if spec.Tasks <= oneSlice && !spec.Apart {
+			together(counts)
+		}
+	}
+	fewParts(counts, c.cfg.TxnOps-1)
+	c.noteDealt(j, counts)
+	split := map[string]ranges{}
+	at := 0
+	for z, n := range counts {
+		if n > 0 {
+			split[c.parts[z].name] = ranges{{at, at + n}}
+			at += n
+		}
+	}
+	return split
+}
+
+// oneSlice is how many tasks a job may have to go to one part as a whole: each
+// further part costs changes at the state service at its coming, and reads of
+// all slices at its end. What finds no room there moves later.
+const oneSlice = 40
+
+// together gives all tasks to the part that has most of them.
+func together(counts []int) {
+	best, sum := 0, 0
+	for z, n := range counts {
+		if sum += n; n > counts[best] {
+			best = z
+		}
+	}
+	clear(counts)
+	counts[best] = sum
+}
+
+// fewParts leaves tasks in at most so many parts: a job and its slices come into
+// being in one transaction. The parts with the fewest tasks give them to those of
+// the others that have the fewest, so that tasks that must be apart stay so.
+func fewParts(counts []int, most int) {
+	var used []int
+	for z, n := range counts {
+		if n > 0 {
+			used = append(used, z)
+		}
+	}
+	if len(used) <= most {
+		return
+	}
+	slices.SortStableFunc(used, func(a, b int) int { return cmp.Compare(counts[b], counts[a]) })
+	kept := used[:most]
+	for _, z := range used[most:] {
+		for ; counts[z] > 0; counts[z]-- {
+			counts[slices.MinFunc(kept, func(a, b int) int { return cmp.Compare(counts[a], counts[b]) })]++
+		}
+	}
+}
+
+// zoneHolds says whether the zone has a machine type that the job allows.
+func (c *Core) zoneHolds(j *job, p *part) bool {
+	for t := range c.types {
+		typ := &c.types[t]
+		if contains(typ.Zones, p.name) && j.spec.Need.plan().Within(typ.Total.plan()) &&
+			c.allowedOn(j, c.kind(p.zone, t, false)) {
+			return true
+		}
+	}
+	return false
+}
+
+// planned is how many tasks of a large job are dealt one by one; the rest
+// follows their proportions.
+const planned = 64
+
+func (c *Core) bestZone(step *plan.Step, n int, byZone [][]device, now float64) int {
+	best, at := -1, 0.0
+	for z, ds := range byZone {
+		if len(ds) == 0 {
+			continue
+		}
+		var devices []*plan.Device
+		for _, d := range ds {
+			devices = append(devices, d.Device)
+		}
+		sched := plan.Solve([]plan.Step{{Tasks: min(n, planned), Gang: step.Gang, Need: step.Need, Comp: step.Comp, Image: step.Image,
+			ImageGB: step.ImageGB, Allowed: step.Allowed}}, devices, now, c.cfg.Knobs.Frontier)
+		if sched.Complete && (best < 0 || sched.Finish < at) {
+			best, at = z, sched.Finish
+		}
+	}
+	if best < 0 {
+		best = max(c.zones.known(c.cfg.Zone), 0)
+		for z, ds := range byZone {
+			if len(ds) > 0 {
+				best = z
+			}
+		}
+	}
+	return best
+}
+
+func (c *Core) spreadOver(step *plan.Step, n, most, at int, byZone [][]device, counts []int, now float64) {
+	open := make([]bool, len(byZone))
+	for z := range byZone {
+		open[z] = len(byZone[z]) > 0
+	}
+	left, sample := n, min(n, planned)
+	for sample > 0 {
+		var devices []*plan.Device
+		var zones []int
+		for z, ds := range byZone {
+			if !open[z] {
+				continue
+			}
+			for _, d := range ds {
+				devices, zones = append(devices, d.Device), append(zones, z)
+			}
+		}
+		got := plan.Spread(step, sample, devices, now, func(pl plan.Placement) bool {
+			z := zones[pl.Device]
+			counts[z]++
+			open[z] = counts[z] < most
+			return open[z]
+		})
+		if got == 0 {
+			break
+		}
+		sample -= got
+		left -= got
+	}
+	// The rest of a large job in the same proportions, within the limit, as long as a
+	// part can have that many placed at a time; what is beyond it would only wait there
+	// and goes to all parts.
+	dealt := n - left
+	for z := range counts {
+		if dealt > 0 && left > 0 && counts[z] > 0 {
+			more := min(left, (n-dealt)*counts[z]/dealt, most-counts[z], max(at-counts[z], 0))
+			counts[z] += more
+			left -= more
+		}
+	}
+	usable := 0
+	for z := range counts {
+		if len(byZone[z]) > 0 {
+			usable++
+		}
+	}
+	even := left / max(usable, 1)
+	for z := range counts {
+		if len(byZone[z]) > 0 && left > 0 {
+			more := min(even, most-counts[z])
+			counts[z] += more
+			left -= more
+		}
+	}
+	for z := range counts {
+		if len(byZone[z]) > 0 || dealt == 0 {
+			more := min(left, most-counts[z])
+			counts[z] += more
+			left -= more
+		}
+	}
+	for z := range counts {
+		more := min(left, most-counts[z])
+		counts[z] += more
+		left -= more
+	}
+}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -57,17 +57,19 @@
 	retryAt    time.Duration
 	reclaimAt  time.Duration // when a raised token is due, 0 for never
 
-	hireSeq  int
-	hiring   []*hire
-	scarce   map[Offer]time.Duration
-	demand   []sample // of work that is no filler
-	keep     kept
-	fill     []float64 // what fillers may take, by pool, as of fillAt
-	fillAt   time.Duration
-	shortage []need
-	export   map[string]export // by job
-	loadedAt time.Duration
-	loadAt   time.Duration // when the load is logged next
+	hireSeq int
+	hiring  []*hire
+	scarce  map[Offer]time.Duration
+	demand  []sample // of work that is no filler
+	// When this ownership saw its first demand.
+	demandFrom time.Duration
+	keep       kept
+	fill       []float64 // what fillers may take, by pool, as of fillAt
+	fillAt     time.Duration
+	shortage   []need
+	export     map[string]export // by job
+	loadedAt   time.Duration
+	loadAt     time.Duration // when the load is logged next
 
 	moving    bool // tasks are on their way to another part
 	moveAt    time.Duration
@@ -77,6 +79,7 @@
 	devicesAt time.Duration
 	queue     []Backlog // of a part owned here, as of queueAt
 	queueAt   time.Duration
+	dealt     []dealt // from here, lately
 }
 
 type partValue struct {
