Limits: lists of any length, queues and messages that follow from the settings

Read off the code for 4,000 machines and half as many again; each with what happened beyond it:

* The cloud's list was given up when a page found no token, and began anew: with a third of 15 calls a second a list of over 1,000 machines never came to its end, so machines nobody expected, failed and vanished ones would not have been noticed.
Each page now waits for its own token and leaves one to hires; the pause after a list is twice what it took; a machine counts as missing only if it was up well before the list was asked for.
* A watch's answer beyond 8 MiB was cut off, not understood and asked for again for ever: now the keys are read again, page by page.
* The queue to the core held 1,024 commands; now one for each connection and call that there may be.
* Calls to workers were at most 512, greetings of a new owner 64 at a time: a fifth of the sockets, and half of that.
Messages between controllers were at most 4 MiB: a sixteenth of the memory.
Sockets where the settings name none: 16,384 in place of 4,096.
Alike machines of a peer: 50,000 for 5,000.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -26,7 +26,7 @@
 	const nobody, conns = "127.0.0.1:1", 9
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	rt := runtime.New(core.New(core.Config{Label: "n0", Zone: "a", Zones: []string{"a"}}), state.New(nobody, 100, 50, 12, 1),
-		cloud.New(nobody, 5, 1), agent.New(4), 4, nil, metrics.New(), log)
+		cloud.New(nobody, 5, 1), agent.New(4), runtime.Bounds{WorkerCalls: 4}, nil, metrics.New(), log)
 	go rt.Run(t.Context())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -39,18 +39,40 @@
 
 const timeout = 4 * time.Second
 
-func (c *Client) admit(ctx context.Context, urgent bool) bool {
-	if !urgent && c.tokens.Tokens() < 1.5 && c.tokens.Burst() > 1 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+// admitWait is how long a call may wait for its token.
+const admitWait = 3 * time.Second
+
+func (c *Client) admit(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, admitWait)
+	defer cancel()
+	return c.tokens.Wait(ctx) == nil
+}
+
+// A page of a listing is asked for when it leaves half a token to the next hire or
+// return, which it looks for so often. A listing that finds none for so long is given up.
+const (
+	spareTokens = 1.5
+	spareLook   = 100 * time.Millisecond
+	spareWait   = 20 * time.Second
+)
+
+// admitPage waits for a token that nothing more urgent needs.
+func (c *Client) admitPage(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, spareWait)
 	defer cancel()
+	for c.tokens.Burst() > 1 && c.tokens.Tokens() < spareTokens {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(spareLook):
+		}
+	}
 	return c.tokens.Wait(ctx) == nil
 }
 
 // Catalog reads the machine types.
 func (c *Client) Catalog(ctx context.Context) core.CatalogResult {
-	if !c.admit(ctx, true) {
+	if !c.admit(ctx) {
 		return core.CatalogResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodGet, "/catalog", nil)
@@ -64,12 +86,14 @@
 	return core.CatalogResult{Outcome: core.OK, Types: types}
 }
 
-// Hosts lists all machines, page by page.
+// Hosts lists all machines, page by page. Each page waits for its own token: a listing
+// that was given up when the second page found none began anew for ever where the fleet
+// had more pages than a second brings tokens.
 func (c *Client) Hosts(ctx context.Context) core.HostsResult {
 	var out core.HostsResult
 	after := ""
 	for {
-		if !c.admit(ctx, false) {
+		if !c.admitPage(ctx) {
 			return core.HostsResult{Outcome: core.NotSent}
 		}
 		path := "/hosts?Page=500"
@@ -95,7 +119,7 @@
 
 // Hire rents machines.
 func (c *Client) Hire(ctx context.Context, op core.HireOp) core.HireResult {
-	if !c.admit(ctx, true) {
+	if !c.admit(ctx) {
 		return core.HireResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodPost, "/hosts", wire.EncodeHire(op))
@@ -117,7 +141,7 @@
 
 // Return gives machines back.
 func (c *Client) Return(ctx context.Context, hosts []string) core.ReturnResult {
-	if !c.admit(ctx, true) {
+	if !c.admit(ctx) {
 		return core.ReturnResult{Outcome: core.NotSent}
 	}
 	r := c.http.Do(ctx, timeout, http.MethodPost, "/hosts/return", wire.EncodeReturn(hosts))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	Waits                 map[string]float64   // the tightest aim per class for the start of a task, in seconds
 	Report, Lease, Cancel time.Duration
 	ListLag               time.Duration
+	WorkerCalls           int // calls to workers that may be open at a time
 	TxnOps, ValueBytes    int
 	Changes               float64 // what the state service takes a second from all controllers; 0: not limited
 	Knobs                 Knobs
--- a/internal/core/dealing.go
+++ b/internal/core/dealing.go
@@ -9,6 +9,9 @@
 	"roadcleat/internal/plan"
 )
 
+// mostAlike bounds how many machines of a kind a peer's word is believed for in a zone.
+const mostAlike = 50_000
+
 // viewDevices is another part's machines by its owner's last word.
 func (c *Core) viewDevices(p *part) []device {
 	if p.devices != nil || p.view == nil || c.now > p.viewAt+10*time.Second {
@@ -22,7 +25,7 @@
 		if typ < 0 {
 			continue
 		}
-		for range min(v.Count, 5000) {
+		for range min(v.Count, mostAlike) {
 			d := &plan.Device{Kind: c.kind(p.zone, typ, v.Spot), Total: c.types[typ].Total.plan(), Up: now + v.Up,
 				SPerGB: c.fetchRate(typ), Slow: 1, FetchAt: now + v.FetchAt}
 			if v.Used.Cores > 0 || v.Used.Cards > 0 {
--- a/internal/core/launches.go
+++ b/internal/core/launches.go
@@ -204,11 +204,11 @@
 	})
 }
 
-// A new owner greets so many workers at a time, so that orders to others find
-// sockets and a zone of machines that do not answer costs little. Each that does
+// A new owner greets half as many workers at a time as it may call, so that orders to
+// others find sockets and a zone of machines that do not answer costs little. Each that does
 // not answer is tried less and less often; its report will tell when it is back.
 const (
-	greetsAtOnce = 64
+	leastGreets  = 64 // at a time, however few calls it may have open
 	greetAgain   = 2 * time.Second
 	greetSlowest = 3 // doublings
 )
@@ -217,7 +217,7 @@
 // token, so that it drops what a stale owner says and shows that it hears me.
 // A worker that has not reported yet is asked for its session first.
 func (c *Core) greet(p *part, h *host) {
-	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning || c.greets >= greetsAtOnce {
+	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning || c.greets >= max(c.cfg.WorkerCalls/2, leastGreets) {
 		return
 	}
 	c.greets++
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -196,6 +196,14 @@
 	p.replan = true
 }
 
+// The cloud's list is read so often. Where it has many pages, each of which waits for a
+// call of its own, the pause after it is so many times what it took: hires and returns
+// need the calls as well.
+const (
+	listEvery = 6 * time.Second
+	listPause = 2
+)
+
 // listHosts reads the cloud's list of machines. It lags, so a machine's
 // absence proves nothing; it brings machines nobody expected and failures.
 func (c *Core) listHosts() {
@@ -206,7 +214,8 @@
 	if !owns || c.listBusy || c.now < c.listAt || len(c.types) == 0 {
 		return
 	}
-	c.listBusy, c.listAt = true, c.now+6*time.Second
+	asked := c.now
+	c.listBusy, c.listAt = true, asked+listEvery
 	sent := map[*part]uint64{}
 	for _, p := range c.parts {
 		if p.mine {
@@ -215,6 +224,7 @@
 	}
 	c.call(HostsOp{}, func(r any) {
 		c.listBusy = false
+		c.listAt = max(c.listAt, c.now+listPause*(c.now-asked))
 		res := r.(HostsResult)
 		if res.Outcome != NotSent { // not a call left out for want of tokens
 			c.cloudSaid(res.Outcome == OK)
@@ -258,7 +268,7 @@
 			}
 			p.fleetListed = true
 			for _, h := range p.hostList() {
-				if h.unlisted++; listed[h.name] || h.state != up || c.now < h.since+3*c.cfg.ListLag {
+				if h.unlisted++; listed[h.name] || h.state != up || asked < h.since+3*c.cfg.ListLag {
 					h.unlisted = 0
 				}
 			}
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -17,6 +17,9 @@
 // maxBody bounds what is read of an answer.
 const maxBody = 8 << 20
 
+// ErrTooLarge says that an answer was larger than what is read of one.
+var ErrTooLarge = errors.New("answer too large")
+
 // Client calls servers, by default one at a fixed address.
 type Client struct {
 	base string
@@ -87,9 +90,12 @@
 		return Result{Err: err, NotSent: errors.As(err, &d)}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
 		return Result{Err: fmt.Errorf("answer: %w", err)}
 	}
+	if len(data) > maxBody {
+		return Result{Status: resp.StatusCode, Err: ErrTooLarge}
+	}
 	return Result{Status: resp.StatusCode, Body: data}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,15 +18,23 @@
 )
 
 const (
-	queueLen   = 64
-	connsEach  = 4 // from each other controller: one that counts, and ones that a cut has left open
-	maxMessage = 4 << 20
-	ioTimeout  = 4 * time.Second
-	idleLimit  = 10 * time.Second
+	queueLen  = 64
+	connsEach = 4 // from each other controller: one that counts, and ones that a cut has left open
+	ioTimeout = 4 * time.Second
+	idleLimit = 10 * time.Second
 
 	confirmWithin = 2500 * time.Millisecond
 )
 
+// leastMessage is the largest message where the settings name no memory, or little.
+const leastMessage = 4 << 20
+
+// MessageBytes is the largest message taken by a controller with so much memory: what
+// owners tell grows with jobs and with machines that differ.
+func MessageBytes(memoryMB float64) int {
+	return max(int(memoryMB/16*(1<<20)), leastMessage)
+}
+
 // hello opens a connection.
 type hello struct{ Label string }
 
@@ -132,8 +140,9 @@
 	}
 }
 
-// Serve takes connections of other controllers and hands on their messages.
-func Serve(ctx context.Context, ln net.Listener, labels []string, deliver func(from int, m core.Message), log *slog.Logger) {
+// Serve takes connections of other controllers and hands on their messages of up to so
+// many bytes.
+func Serve(ctx context.Context, ln net.Listener, labels []string, maxMessage int, deliver func(from int, m core.Message), log *slog.Logger) {
 	slots := make(chan struct{}, connsEach*len(labels))
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
@@ -154,7 +163,7 @@
 		}
 		go func() {
 			defer func() { conn.Close(); <-slots }()
-			if err := receive(conn, labels, deliver); err != nil {
+			if err := receive(conn, labels, maxMessage, deliver); err != nil {
 				log.Debug("peer connection ended", "err", err)
 			}
 		}()
@@ -176,7 +185,7 @@
 	return n, err
 }
 
-func receive(conn net.Conn, labels []string, deliver func(int, core.Message)) error {
+func receive(conn net.Conn, labels []string, maxMessage int, deliver func(int, core.Message)) error {
 	src := &bounded{conn: conn, left: maxMessage}
 	dec := gob.NewDecoder(bufio.NewReader(src))
 	if err := conn.SetReadDeadline(time.Now().Add(idleLimit)); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 		ln, err := net.Listen("tcp", addr)
 		require.NoError(t, err)
 		sctx, stop := context.WithCancel(ctx)
-		go Serve(sctx, ln, []string{"n1", "n2"}, func(from int, m core.Message) {
+		go Serve(sctx, ln, []string{"n1", "n2"}, leastMessage, func(from int, m core.Message) {
 			assert.Equal(t, 1, from)
 			got <- m
 		}, log)
@@ -78,7 +78,7 @@
 				}
 				conns <- conn
 				if !mute {
-					go func() { _ = receive(conn, []string{"n2"}, func(int, core.Message) {}) }()
+					go func() { _ = receive(conn, []string{"n2"}, leastMessage, func(int, core.Message) {}) }()
 				}
 			}
 		}()
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -22,11 +22,15 @@
 	ErrBusy = errors.New("too much waiting already")
 )
 
+// Bounds are how many calls to workers and requests of workers and users may be under
+// way at a time; both follow from the sockets that the settings give.
+type Bounds struct{ WorkerCalls, Requests int }
+
 const (
-	queueLen  = 1024
-	batchLen  = 64
-	maxCalls  = 256 // calls to the state service and the cloud open at a time
-	tickEvery = 50 * time.Millisecond
+	leastQueue = 1024 // commands that may wait for the core, however few sockets there are
+	batchLen   = 64
+	maxCalls   = 256 // calls to the state service and the cloud open at a time
+	tickEvery  = 50 * time.Millisecond
 )
 
 // command is an event, a question to the core, or both.
@@ -56,11 +60,13 @@
 	calls, workerCalls chan struct{}
 }
 
-// New makes a runtime that has at most workerCalls calls to workers open.
-func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, workerCalls int, links []*peer.Link, seen *metrics.Set, log *slog.Logger) *Runtime {
+// New makes a runtime. Its queue holds a command for each request and call that the
+// bounds allow, so that all workers of a large fleet may report in the same moment, as
+// they do after this process stood still.
+func New(c *core.Core, st *state.Client, cl *cloud.Client, ag *agent.Client, bounds Bounds, links []*peer.Link, seen *metrics.Set, log *slog.Logger) *Runtime {
 	return &Runtime{core: c, state: st, cloud: cl, agent: ag, links: links, log: log, seen: seen,
-		queue: make(chan command, queueLen), start: time.Now(), waiting: map[uint64]chan any{},
-		calls: make(chan struct{}, maxCalls), workerCalls: make(chan struct{}, workerCalls)}
+		queue: make(chan command, max(leastQueue, bounds.Requests+bounds.WorkerCalls+maxCalls)), start: time.Now(), waiting: map[uint64]chan any{},
+		calls: make(chan struct{}, maxCalls), workerCalls: make(chan struct{}, bounds.WorkerCalls)}
 }
 
 // Run works through the queue until the context ends.
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -22,7 +23,7 @@
 func newRuntime(workerCalls int) *Runtime {
 	const nobody = "127.0.0.1:1"
 	return New(core.New(core.Config{Label: "n0", Zone: "a", Zones: []string{"a"}}), state.New(nobody, 100, 50, 12, 1),
-		cloud.New(nobody, 5, 1), agent.New(workerCalls), workerCalls, nil, metrics.New(),
+		cloud.New(nobody, 5, 1), agent.New(workerCalls), Bounds{WorkerCalls: workerCalls}, nil, metrics.New(),
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
@@ -85,3 +86,27 @@
 	assert.Less(t, pprof.Lookup("threadcreate").Count()-before, 64)
 	cancel()
 }
+
+func TestEveryWorkerOfALargeFleetMayReportAtOnce(t *testing.T) {
+	// The queue held 1,024 commands: after a standstill the reports of the others were
+	// refused.
+	const workers = 6000
+	r := New(core.New(core.Config{Label: "n0", Zone: "a", Zones: []string{"a"}}), state.New("127.0.0.1:1", 100, 50, 12, 1),
+		cloud.New("127.0.0.1:1", 5, 1), agent.New(4), Bounds{WorkerCalls: 4, Requests: workers}, nil, metrics.New(),
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, workers)
+	for i := range workers {
+		go func() {
+			_, err := r.Do(ctx, core.Beat{Report: core.Report{Host: fmt.Sprintf("vm-%d", i), Zone: "a"}})
+			done <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return len(r.queue) == workers || len(done) > 0 }, 10*time.Second, 5*time.Millisecond)
+	assert.Empty(t, done, "none is refused")
+	go r.Run(ctx)
+	for range workers {
+		assert.NoError(t, <-done)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,11 +59,12 @@
 	}
 	seen := metrics.New()
 	b := socketsFor(s)
-	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(b.workers), b.workers, links, seen, log)
+	bounds := rt.Bounds{WorkerCalls: b.workers, Requests: b.served}
+	r := rt.New(core.New(CoreConfig(s, o, rand.Uint64())), st, cl, agent.New(b.workers), bounds, links, seen, log)
 	for _, l := range links {
 		go l.Run(ctx)
 	}
-	go peer.Serve(ctx, peerLn, labels, r.Deliver, log)
+	go peer.Serve(ctx, peerLn, labels, peer.MessageBytes(d.Resources.MemoryMB), r.Deliver, log)
 	go r.Run(ctx)
 	log.Info("controller started", "label", s.Label, "zone", s.Location)
 	return api.New(r, seen, log).Serve(ctx, apiLn, b.served, config.Seconds(d.Workers.ReportS))
@@ -75,16 +76,19 @@
 	workers int // calls to workers
 }
 
+// unnamedSockets is how many sockets are used where the settings name no limit.
+const unnamedSockets = 16384
+
 // socketsFor divides them: some for the state service, the cloud, the other
 // controllers and what is just being closed, a fifth of the rest for calls to
 // workers, the remainder to those who call.
 func socketsFor(s *config.Settings) sockets {
 	all := s.Deployment.Resources.FDLimit
 	if all <= 0 {
-		all = 4096
+		all = unnamedSockets
 	}
 	rest := all - min(64+8*len(s.Others), all/3)
-	workers := min(max(rest/5, 4), 512)
+	workers := max(rest/5, 4)
 	return sockets{served: rest - workers, workers: workers}
 }
 
@@ -117,7 +121,7 @@
 	cfg := core.Config{
 		Label: s.Label, Zone: s.Location, Zones: d.Zones, Finishes: map[string][]float64{}, Deadlines: map[string][]float64{}, Waits: map[string]float64{},
 		Report: sec(d.Workers.ReportS), Lease: sec(d.Workers.LeaseS), Cancel: sec(d.Workers.CancelS),
-		ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, Changes: d.State.WriteRPS, ValueBytes: int(d.State.ValueKB * 1024),
+		WorkerCalls: socketsFor(s).workers, ListLag: sec(d.Cloud.ListLagS), TxnOps: d.State.TxnOps, Changes: d.State.WriteRPS, ValueBytes: int(d.State.ValueKB * 1024),
 		Boot: boot, Seed: boot,
 		Knobs: o.Knobs(),
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -171,6 +172,10 @@
 	path := fmt.Sprintf("/follow?Starts=%s&After=%d&WaitMs=%d", url.QueryEscape(op.Prefix), op.After, op.Wait.Milliseconds())
 	r := c.apart.Do(ctx, op.Wait+timeout, http.MethodGet, path, nil)
 	switch {
+	case errors.Is(r.Err, httpc.ErrTooLarge):
+		// So much has changed while nothing was heard that reading the keys, page by
+		// page, costs less. Asked again, the answer would only be larger.
+		return core.FollowResult{Outcome: core.Refused}
 	case r.Err != nil || r.Status != 200 && r.Status != 410:
 		return core.FollowResult{Outcome: core.Unknown}
 	case r.Status == 410:
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -68,3 +68,20 @@
 	assert.Equal(t, core.OK, c.Renew(ctx, core.RenewOp{Lease: 7}).Outcome)
 	assert.Less(t, time.Since(start), time.Second)
 }
+
+func TestAWatchWithMoreNewsThanCanBeReadIsTooOld(t *testing.T) {
+	// Its answer was cut off, could not be understood and was asked for again, for
+	// ever: the next one is only larger.
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"Ledger":9,"News":[`))
+		change := `{"Set":"job/1","Value":{"x":"` + strings.Repeat("y", 1<<20) + `"},"Stamp":8},`
+		for range 9 {
+			_, _ = w.Write([]byte(change))
+		}
+		_, _ = w.Write([]byte(`{"Drop":"job/2","Stamp":9}]}`))
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), 1000, 1000, 12, 1)
+	res := c.Follow(t.Context(), core.FollowOp{Prefix: "job/", After: 7, Wait: time.Second})
+	assert.Equal(t, core.Refused, res.Outcome, "read the keys again")
+}
