--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -40,6 +40,9 @@
 	plain []float64 // of it, by work that no spot machine may run
 }
 
+func (s sample) all() []float64      { return s.cores }
+func (s sample) ordinary() []float64 { return s.plain }
+
 // size keeps the part's fleet near its demand: machines for waiting work at
 // once, room for what the recent past suggests, idle ones back when neither
 // needs them.
@@ -120,22 +123,26 @@
 	}
 	p.keep, p.fill = kept{pools, make([]float64, len(pools))}, nil
 	for i, types := range pools {
-		target, mean := c.target(p, func(s sample) []float64 { return s.cores }, i, len(pools))
-		ordinary, lastingly := c.target(p, func(s sample) []float64 { return s.plain }, i, len(pools))
-		ordinary += c.growth(p, i, len(pools)) * c.slowestBoot(types)
+		target, mean := c.target(p, sample.all, i, len(pools))
+		grown := target
+		if target > chanceCores {
+			grown += c.growth(p, sample.all, i, len(pools)) * c.slowestBoot(types)
+		}
+		ordinary, lastingly := c.target(p, sample.ordinary, i, len(pools))
+		ordinary += c.growth(p, sample.ordinary, i, len(pools)) * c.slowestBoot(types)
 		if ours := c.ordinary(p, types); may && ours < ordinary && lastingly > 0 {
 			// Cheap machines that stand ready are none to those who may not use them.
 			c.hirePlain(p, types, ordinary-ours)
 		}
 		p.keep.cores[i] = target
-		if capacity := c.capacity(p, types) - firm[i]; may && capacity < target && mean > 0 {
+		if capacity := c.capacity(p, types) - firm[i]; may && capacity < grown && mean > 0 {
 			lasting := target - capacity
 			if target > chanceCores {
 				lasting = mean*1.05 - capacity
 			}
-			c.hireRoom(p, types, target-capacity, lasting)
+			c.hireRoom(p, types, grown-capacity, target-capacity, lasting)
 		}
-		over := c.surplusOf(p, types, target+filled[i], ordinary)
+		over := c.surplusOf(p, types, grown+filled[i], ordinary)
 		c.returnIdle(p, types, &over)
 		c.consolidate(p, types, over)
 	}
@@ -158,12 +165,11 @@
 // growth that lasts from a single step.
 const growthQuarters = 4
 
-// growth is by how many cores a second the demand of work that no spot machine may run
-// has grown lately in a pool. The quarter of the window in which it grew most counts as
-// the next one, so that a single large job foretells nothing. A replica that comes while machines for the last ones still boot would wait for
-// a boot as well, however steadily replicas come. The first demand that an owner sees is
+// growth is by how many cores a second demand has grown lately in a pool. The quarter of the window in which it grew most counts as
+// the next one, so that a single large job foretells nothing. Work that comes while machines for the last of it still boot would wait for a
+// boot as well, however steadily it comes. The first demand that an owner sees is
 // a backlog and says nothing about what is yet to come.
-func (c *Core) growth(p *part, pool, pools int) float64 {
+func (c *Core) growth(p *part, of func(sample) []float64, pool, pools int) float64 {
 	window := c.cfg.Knobs.Window
 	if len(p.demand) == 0 || c.now < p.demandFrom+window*3/2 {
 		return 0
@@ -173,8 +179,8 @@
 	at := func(t time.Duration) float64 {
 		demand := 0.0
 		for _, s := range p.demand {
-			if s.at <= t && len(s.plain) == pools {
-				demand = s.plain[pool]
+			if d := of(s); s.at <= t && len(d) == pools {
+				demand = d[pool]
 			}
 		}
 		return demand
@@ -504,15 +510,18 @@
 }
 
 // hireRoom rents for demand foreseen, one kind at a time: spot machines up to
-// what peaks ask for, dear ones only up to the demand that lasts, where there are
+// what peaks and their growth ask for, dear ones only up to the demand that lasts, where there are
 // enough machines to tell and no queue outlasts a boot. A peak is mostly over by
 // the time a machine is up. No dear ones for what can go where cheap ones are to be had.
-func (c *Core) hireRoom(p *part, types uint64, peaks, lasting float64) {
+func (c *Core) hireRoom(p *part, types uint64, grown, peaks, lasting float64) {
 	for _, o := range c.offers(p) {
 		typ := c.typeIdx.known(o.Type)
-		cores := peaks
-		if !o.Spot && c.queueFor(p, priorities)[typ] < c.types[typ].BootS {
-			cores = lasting
+		cores := grown
+		if !o.Spot {
+			cores = peaks
+			if c.queueFor(p, priorities)[typ] < c.types[typ].BootS {
+				cores = lasting
+			}
 		}
 		if !o.Spot && c.cheapElsewhere(p, types) {
 			return
--- a/internal/fake/consolidation_test.go
+++ b/internal/fake/consolidation_test.go
@@ -112,3 +112,23 @@
 	}
 	assert.LessOrEqual(t, late, 12, "services that came while machines for the last ones booted and had no room after 12 s")
 }
+
+func TestArraysThatKeepComingFindCheapRoom(t *testing.T) {
+	w := cardDay(t, 924, 60*time.Second, 400)
+	submit := func(i int) *Job { return w.Submit(sweep(fmt.Sprintf("job-%03d", i), 16, 600), 600*time.Second) }
+	for i := range 50 { // one array every two seconds
+		submit(i)
+		w.Run(2 * time.Second)
+	}
+	var coming []*Job
+	late := 0
+	for i := 50; i < 110; i++ {
+		coming = append(coming, submit(i))
+		w.Run(2 * time.Second)
+		if n := len(coming) - 8; n >= 0 && runningTasks(w, coming[n].Spec.ID) < 16 {
+			late++
+		}
+	}
+	assert.LessOrEqual(t, late, 20, "arrays of 53 that came while machines for the last ones booted and had no room after 16 s")
+	assert.Zero(t, rentedOrdinary(w, ""), "for growth of what spot machines can do, no dear ones")
+}
