--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -194,9 +194,11 @@
 			v.Fill[c.types[t].Name] = math.Floor(room)
 		}
 	}
-	for o, until := range p.scarce {
-		if c.now < until {
-			v.Scarce = append(v.Scarce, o)
+	for t := range c.types {
+		for _, spot := range []bool{false, true} {
+			if o := (Offer{c.types[t].Name, spot}); c.now < p.scarce[o] {
+				v.Scarce = append(v.Scarce, o)
+			}
 		}
 	}
 	first := c.firstUp(p)
@@ -293,7 +295,8 @@
 	pools := c.pools()
 	work := make([][priorities]float64, len(pools))
 	served := make([]float64, len(pools))
-	for _, s := range p.slices {
+	for _, id := range sorted(p.slices) { // sums must not depend on a map's order
+		s := p.slices[id]
 		if s.job.standing != Pending {
 			continue
 		}
--- a/internal/fake/play.go
+++ b/internal/fake/play.go
@@ -48,12 +48,17 @@
 
 // Play plays the script. A panic in it counts as a broken rule. log, if any, hears all
 // that happens.
-func (s Script) Play(log func(string, ...any)) (v Verdict) {
-	v = Verdict{Struck: make([]bool, len(s.Steps)), Seen: map[Step]int{}}
+func (s Script) Play(log func(string, ...any)) Verdict {
 	w := s.build()
 	if log != nil {
 		w.Log = log
 	}
+	return s.playIn(w)
+}
+
+// playIn plays the script in a world that was built for it.
+func (s Script) playIn(w *World) (v Verdict) {
+	v = Verdict{Struck: make([]bool, len(s.Steps)), Seen: map[Step]int{}}
 	defer func() {
 		if p := recover(); p != nil {
 			v.Broken = append(v.Broken, fmt.Sprintf("%v panic: %v", w.Now, p))
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -25,6 +25,8 @@
 	Cfg     core.Config // what all controllers share
 	Log     func(format string, args ...any)
 
+	// OnEffect, if set, sees whatever a controller's core asks for, before it is done.
+	OnEffect func(n *Node, effect any)
 	// Copies, if set, says after which times copies of a report arrive once more.
 	Copies func(k *Worker) []time.Duration
 	// Again, if set, says after how long a request is carried out a second time,
@@ -334,6 +336,9 @@
 		if !n.up || n.life != life {
 			return // it ended while it was sending
 		}
+		if n.w.OnEffect != nil {
+			n.w.OnEffect(n, e)
+		}
 		switch e := e.(type) {
 		case core.Call:
 			n.call(e)
