--- a/cmd/roadcleat/operators.go
+++ b/cmd/roadcleat/operators.go
@@ -59,11 +59,11 @@
 			if err := get(f.addr, "/status", &s); err != nil {
 				return err
 			}
-			print := func() error { return printStatus(cmd.OutOrStdout(), &s, f.all) }
+			printIt := func() error { return printStatus(cmd.OutOrStdout(), &s, f.all) }
 			if f.json {
-				print = func() error { return printJSON(cmd.OutOrStdout(), &s) }
+				printIt = func() error { return printJSON(cmd.OutOrStdout(), &s) }
 			}
-			if err := print(); err != nil {
+			if err := printIt(); err != nil {
 				return err
 			}
 			return stuck(&s, f.stuckAfter)
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -181,7 +181,7 @@
 
 // Results of the calls.
 type (
-	// CommitResult: OK with the revision, Refused with the keys that differ
+	// CommitResult is OK with the revision, Refused with the keys that differ
 	// (or a lease that ended), NotSent or Unknown.
 	CommitResult struct {
 		Outcome  Outcome
@@ -189,7 +189,7 @@
 		Failed   []string
 		NoLease  bool
 	}
-	// ReadResult: OK, with Found false for a key that does not exist.
+	// ReadResult is OK, with Found false for a key that does not exist.
 	ReadResult struct {
 		Outcome Outcome
 		Found   bool
@@ -212,7 +212,7 @@
 		Outcome Outcome
 		Lease   uint64
 	}
-	// RenewResult: Refused means that the lease has ended.
+	// RenewResult says whether the lease goes on; Refused means that the lease has ended.
 	RenewResult struct{ Outcome Outcome }
 	// CatalogResult holds the machine types.
 	CatalogResult struct {
@@ -224,14 +224,14 @@
 		Outcome Outcome
 		Hosts   []Listed
 	}
-	// HireResult: Refused means no capacity.
+	// HireResult holds the machines rented; Refused means no capacity.
 	HireResult struct {
 		Outcome Outcome
 		Hosts   []string
 	}
 	// ReturnResult says whether the machines are gone.
 	ReturnResult struct{ Outcome Outcome }
-	// WorkerResult: OK when executed, Refused on a token or session mismatch.
+	// WorkerResult is OK when executed, Refused on a token or session mismatch.
 	WorkerResult struct {
 		Outcome Outcome
 		Report  *Report
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -23,7 +23,7 @@
 	// What a part of mine may still rely on after it asked to give grants back
 	// and nobody can tell whether that was or will be carried out: such a
 	// transaction may be applied as long as the key keeps its stamp.
-	capped map[string]cap
+	capped map[string]cappedGrant
 	asks   map[int]heardAsk // by other controller: what it asked for last
 	idleAt map[string]time.Duration
 }
@@ -86,7 +86,8 @@
 	return n
 }
 
-type cap struct {
+// cappedGrant is the smallest grant that a part asked for while the key had this stamp.
+type cappedGrant struct {
 	stamp uint64
 	grant grant
 }
@@ -280,7 +281,7 @@
 		delete(next, p.name)
 	}
 	if q.capped == nil {
-		q.capped = map[string]cap{}
+		q.capped = map[string]cappedGrant{}
 	}
 	// It may be applied at any later time while the key keeps its stamp, also when
 	// the service refused it (a copy of it may come), and so may one sent before:
@@ -289,7 +290,7 @@
 	if was, ok := q.capped[p.name]; ok && was.stamp == q.stamp {
 		sure = grant{min(sure.Cores, was.grant.Cores), min(sure.Cards, was.grant.Cards)}
 	}
-	q.capped[p.name] = cap{q.stamp, sure}
+	q.capped[p.name] = cappedGrant{q.stamp, sure}
 	value, _ := json.Marshal(next)
 	w := &writing{part: p, quotas: map[*quota]map[string]grant{q: next}}
 	w.txn = Txn{Guards: []Guard{{p.key(), p.stamp}, {q.key(), q.stamp}}, Apply: []Set{{Key: q.key(), Value: value}}}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -308,7 +308,7 @@
 
 // completed records a task's completion. It may be a leftover of an attempt
 // that was given up; the result is kept, so the task is done either way.
-func (c *Core) completed(p *part, h *host, r Reported) {
+func (c *Core) completed(p *part, _ *host, r Reported) {
 	s := p.slices[r.Task.Job]
 	if s == nil || s.job.standing != Pending || s.job.spec.Service {
 		return
--- a/internal/fake/meet_accept_test.go
+++ b/internal/fake/meet_accept_test.go
@@ -39,17 +39,6 @@
 	return w
 }
 
-// largestValue is the longest that a slice of the job has been in the store so far.
-func largestValue(w *World, id string) int {
-	most := 0
-	for _, h := range w.Store.history {
-		if strings.HasPrefix(h.Key, "slice/") && strings.HasSuffix(h.Key, "/"+id) {
-			most = max(most, len(h.Value))
-		}
-	}
-	return most
-}
-
 func TestMoreTasksThanEverArePlacedWithinASmallValue(t *testing.T) {
 	w := small(t, 401, 4<<10)
 	job := w.Submit(spec("job-1", "red", 200, 2), 40*time.Second)
--- a/internal/fake/meet_cancel_test.go
+++ b/internal/fake/meet_cancel_test.go
@@ -470,7 +470,7 @@
 	var repeated, told int
 	var all, withdrawals counted
 	allSent, withdrawalsSent := gob.NewEncoder(&all), gob.NewEncoder(&withdrawals)
-	w.Overhear = func(from, to string, m core.Message) {
+	w.Overhear = func(_, _ string, m core.Message) {
 		if m.Gossip == nil {
 			return
 		}
--- a/internal/fake/meet_workers_test.go
+++ b/internal/fake/meet_workers_test.go
@@ -890,7 +890,7 @@
 		}
 		return 0
 	}
-	w.Store.Carried = append(w.Store.Carried, func(node string, txn core.Txn, res core.CommitResult) {
+	w.Store.Carried = append(w.Store.Carried, func(node string, txn core.Txn, _ core.CommitResult) {
 		if met > 0 || node == "node-0" || !changes(txn, "part/a") || txn.Apply[0].Value != nil {
 			return
 		}
--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -272,14 +272,14 @@
 }
 
 // user asks a node and tells the referee what came back.
-func (w *World) user(n *Node, id string, make func(req uint64) any, then func(status int)) {
+func (w *World) user(n *Node, id string, request func(req uint64) any, then func(status int)) {
 	before := w.Referee.known(id)
 	w.rpc("users", n.Name, 5*time.Second, core.Reply{}, func(answer func(any)) {
 		if !n.up {
 			answer(core.Reply{})
 			return
 		}
-		n.ask(make, answer)
+		n.ask(request, answer)
 	}, func(v any) {
 		rep, _ := v.(core.Reply)
 		w.Referee.told(id, rep.Status, rep.Run.Standing, before)
--- a/internal/fake/status_test.go
+++ b/internal/fake/status_test.go
@@ -105,19 +105,19 @@
 		trouble func(w *World, s *core.Spec)
 		atAll   bool // at every controller, not only at one
 	}{
-		{core.AtLimit, func(w *World, s *core.Spec) { s.Tasks, s.Zone = 30, "a" }, true},
-		{core.NoCapacity, func(w *World, s *core.Spec) { nothing(w) }, true},
-		{core.Booting, func(w *World, s *core.Spec) { w.Cloud.BootS = func(string) float64 { return 20 } }, true},
-		{core.ImageFetch, func(w *World, s *core.Spec) { s.ImageGB = 20 }, true},
+		{core.AtLimit, func(_ *World, s *core.Spec) { s.Tasks, s.Zone = 30, "a" }, true},
+		{core.NoCapacity, func(w *World, _ *core.Spec) { nothing(w) }, true},
+		{core.Booting, func(w *World, _ *core.Spec) { w.Cloud.BootS = func(string) float64 { return 20 } }, true},
+		{core.ImageFetch, func(_ *World, s *core.Spec) { s.ImageGB = 20 }, true},
 		{core.HeldBack, func(w *World, s *core.Spec) {
 			nothing(w)
 			s.Team, s.Priority = "guest", 3
 		}, true},
-		{core.StoreAway, func(w *World, s *core.Spec) {
+		{core.StoreAway, func(w *World, _ *core.Spec) {
 			nothing(w)
 			w.After(10*time.Second, func() { w.Store.Outage(20 * time.Second) })
 		}, true},
-		{core.InDoubt, func(w *World, s *core.Spec) {}, false},
+		{core.InDoubt, func(_ *World, _ *core.Spec) {}, false},
 	} {
 		t.Run(c.why.Name(), func(t *testing.T) {
 			w := New(8302, guests(Settings()))
--- a/internal/fake/troubles.go
+++ b/internal/fake/troubles.go
@@ -29,23 +29,23 @@
 // Troubles lists all that can go wrong, from one to several of the machines, processes
 // and services, and what users do at a bad moment.
 var Troubles = []Trouble{
-	{"restart-at-once", 0, 100 * time.Millisecond, 2, func(w *World, at Target, d time.Duration) { at.Node.Restart(d) }},
-	{"restart", 0, 8 * time.Second, 2, func(w *World, at Target, d time.Duration) { at.Node.Restart(d) }},
-	{"restart-late", 60 * time.Second, 90 * time.Second, 1, func(w *World, at Target, d time.Duration) { at.Node.Restart(d) }},
-	{"restart-all", 0, 6 * time.Second, 1, func(w *World, at Target, d time.Duration) {
+	{"restart-at-once", 0, 100 * time.Millisecond, 2, func(_ *World, at Target, d time.Duration) { at.Node.Restart(d) }},
+	{"restart", 0, 8 * time.Second, 2, func(_ *World, at Target, d time.Duration) { at.Node.Restart(d) }},
+	{"restart-late", 60 * time.Second, 90 * time.Second, 1, func(_ *World, at Target, d time.Duration) { at.Node.Restart(d) }},
+	{"restart-all", 0, 6 * time.Second, 1, func(w *World, _ Target, d time.Duration) {
 		for i, n := range w.Nodes {
 			n.Restart(d * time.Duration(i+1) / time.Duration(len(w.Nodes)))
 		}
 	}},
-	{"all-away", 16 * time.Second, 25 * time.Second, 1, func(w *World, at Target, d time.Duration) {
+	{"all-away", 16 * time.Second, 25 * time.Second, 1, func(w *World, _ Target, d time.Duration) {
 		for _, n := range w.Nodes {
 			n.Restart(d)
 		}
 	}},
-	{"freeze", 0, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { at.Node.Freeze(d) }},
-	{"freeze-short", 0, 4 * time.Second, 1, func(w *World, at Target, d time.Duration) { at.Node.Freeze(d) }},
-	{"state-outage", 2 * time.Second, 35 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Store.Outage(d) }},
-	{"state-outage-long", 48 * time.Second, 70 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Store.Outage(d) }},
+	{"freeze", 0, 60 * time.Second, 1, func(_ *World, at Target, d time.Duration) { at.Node.Freeze(d) }},
+	{"freeze-short", 0, 4 * time.Second, 1, func(_ *World, at Target, d time.Duration) { at.Node.Freeze(d) }},
+	{"state-outage", 2 * time.Second, 35 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.Store.Outage(d) }},
+	{"state-outage-long", 48 * time.Second, 70 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.Store.Outage(d) }},
 	{"state-refuses", 2 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Store.Refuse(at.Node.Name, d) }},
 	{"state-refuses-then-outage", 14 * time.Second, 14 * time.Second, 1, func(w *World, at Target, d time.Duration) {
 		w.Store.Refuse(at.Node.Name, d)
@@ -53,9 +53,9 @@
 	}},
 	{"state-cut", 1 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Cut(at.Node.Name, "state", d, false) }},
 	{"state-held", 1 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Cut(at.Node.Name, "state", d, true) }},
-	{"state-slow", 5 * time.Second, 30 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Store.slowFor(1200*time.Millisecond, d) }},
-	{"late-writes", 300 * time.Millisecond, 20 * time.Second, 2, func(w *World, at Target, d time.Duration) { w.Store.late.begin(w, d, false) }},
-	{"answers-lost", 300 * time.Millisecond, 20 * time.Second, 2, func(w *World, at Target, d time.Duration) { w.Store.late.begin(w, d, true) }},
+	{"state-slow", 5 * time.Second, 30 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.Store.slowFor(1200*time.Millisecond, d) }},
+	{"late-writes", 300 * time.Millisecond, 20 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.Store.late.begin(w, d, false) }},
+	{"answers-lost", 300 * time.Millisecond, 20 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.Store.late.begin(w, d, true) }},
 	{"peers-cut", 1 * time.Second, 50 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cutPeers(at.Node, d, false) }},
 	{"peers-held", 1 * time.Second, 50 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cutPeers(at.Node, d, true) }},
 	{"alone", 2 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Alone(at.Node, d, false) }},
@@ -65,13 +65,13 @@
 	{"node-cut", 2 * time.Second, 50 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cutNode(at.Node, d, false) }},
 	{"node-held", 2 * time.Second, 50 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cutNode(at.Node, d, true) }},
 	{"zone-cut", 16 * time.Second, 40 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.CutZone(at.zone(), d, true) }},
-	{"machine-dies", 0, 0, 1, func(w *World, at Target, d time.Duration) {
+	{"machine-dies", 0, 0, 1, func(_ *World, at Target, _ time.Duration) {
 		if at.Worker != nil {
 			at.Worker.Die()
 		}
 	}},
-	{"bound-dies", 0, 0, 1, func(w *World, at Target, d time.Duration) { w.loseBound() }},
-	{"machine-hangs", 1 * time.Second, 40 * time.Second, 2, func(w *World, at Target, d time.Duration) {
+	{"bound-dies", 0, 0, 1, func(w *World, _ Target, _ time.Duration) { w.loseBound() }},
+	{"machine-hangs", 1 * time.Second, 40 * time.Second, 2, func(_ *World, at Target, d time.Duration) {
 		if at.Worker != nil {
 			at.Worker.Hang(d)
 		}
@@ -88,21 +88,21 @@
 			w.Mute(at.Worker, d)
 		}
 	}},
-	{"recall", 0, 15 * time.Second, 1, func(w *World, at Target, d time.Duration) {
+	{"recall", 0, 15 * time.Second, 1, func(_ *World, at Target, d time.Duration) {
 		if k := at.Worker; k != nil && k.spot && k.notice == 0 {
 			k.Recall(d)
 		}
 	}},
-	{"late-reports", 5 * time.Second, 30 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.copies.late = w.lasting(d) }},
-	{"reports-for-next", 5 * time.Second, 30 * time.Second, 2, func(w *World, at Target, d time.Duration) { w.copies.keep = w.lasting(d) }},
-	{"cloud-outage", 2 * time.Second, 20 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.Cloud.Outage(d) }},
-	{"cancel", 0, 0, 0, func(w *World, at Target, d time.Duration) {
+	{"late-reports", 5 * time.Second, 30 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.copies.late = w.lasting(d) }},
+	{"reports-for-next", 5 * time.Second, 30 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.copies.keep = w.lasting(d) }},
+	{"cloud-outage", 2 * time.Second, 20 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.Cloud.Outage(d) }},
+	{"cancel", 0, 0, 0, func(w *World, at Target, _ time.Duration) {
 		if at.Job != nil && !at.Job.AskedStop {
 			w.Stop(at.Job)
 		}
 	}},
-	{"cancel-now", 0, 20 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.CancelNow(8, d) }},
-	{"cancel-at-end", 10 * time.Second, 60 * time.Second, 1, func(w *World, at Target, d time.Duration) { w.cancelEnds = w.lasting(d) }},
+	{"cancel-now", 0, 20 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.CancelNow(8, d) }},
+	{"cancel-at-end", 10 * time.Second, 60 * time.Second, 1, func(w *World, _ Target, d time.Duration) { w.cancelEnds = w.lasting(d) }},
 	{"close-looks", 5 * time.Second, 60 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.CloseLooks(d, 0.1) }},
 	{"odd-requests", 5 * time.Second, 60 * time.Second, 2, func(w *World, _ Target, d time.Duration) { w.OddRequests(d) }},
 }
--- a/internal/fake/waiting_test.go
+++ b/internal/fake/waiting_test.go
@@ -10,6 +10,7 @@
 	"roadcleat/internal/core"
 )
 
+//revive:disable-next-line:function-length one world goes through all cases, each from where the last one left it
 func TestTheRefereeSeesWorkLeftWaitingAndStartsAfterACancellation(t *testing.T) {
 	w := New(1, Settings())
 	w.Nodes = nil // nobody does anything
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -324,10 +324,10 @@
 }
 
 // ask puts a request to the node; answer is not called if it dies first.
-func (n *Node) ask(make func(req uint64) any, answer func(any)) {
+func (n *Node) ask(request func(req uint64) any, answer func(any)) {
 	n.reqs++
 	n.wait[n.reqs] = answer
-	n.handle(make(n.reqs))
+	n.handle(request(n.reqs))
 }
 
 func (n *Node) carryOut(effects []any) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -165,11 +165,12 @@
 }
 
 // earliestAt books a task that takes its room exactly at t, on trial.
-func (q *partial) earliestAt(s *Step, p *partial, devices []*Device, t float64) int {
+// What is not booked in p is as in base.
+func (p *partial) earliestAt(s *Step, base *partial, devices []*Device, t float64) int {
 	for d := range devices {
-		dev, mine := q.booked[d]
+		dev, mine := p.booked[d]
 		if !mine {
-			dev = p.device(d, devices)
+			dev = base.device(d, devices)
 		}
 		if s.Allowed != nil && !s.Allowed(dev.Kind) {
 			continue
@@ -177,7 +178,7 @@
 		if start, end, ok := dev.try(s, t); ok && start <= t {
 			if !mine {
 				dev = dev.clone()
-				q.booked[d] = dev
+				p.booked[d] = dev
 			}
 			dev.place(s, start, end)
 			return d
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -110,7 +110,8 @@
 		err = fmt.Errorf("malformed: %w", err)
 	}
 	d := json.NewDecoder(bytes.NewReader(body))
-	for tok, bad := d.Token(); bad == nil && d.More(); {
+	for _, bad := d.Token(); bad == nil && d.More(); {
+		var tok json.Token
 		var raw json.RawMessage
 		if tok, bad = d.Token(); bad != nil {
 			break
