An owner that turns requests away gives no silent machine back

Change: the core hears when connections or requests were turned away here, or dropped since their senders had given up. For two reports and 5 s after that, silence is judged by the lease alone, unanswered calls prove nothing, and workers that report are not called as well.

Tests: with a third of the machines silent for 25 s none is returned while the owner turns requests away; without that word they are.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -58,7 +58,7 @@
 // report interval is closed: a cut may have left it half open, and hundreds of
 // those would leave no room when the cut ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, conns int, report time.Duration) error {
-	s.open = &limited{Listener: ln, slots: make(chan struct{}, conns)}
+	s.open = &limited{Listener: ln, slots: make(chan struct{}, conns), refused: s.rt.Refused}
 	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
 		IdleTimeout: max(5*report, 20*time.Second), MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
@@ -73,7 +73,8 @@
 // balancer turns to another controller.
 type limited struct {
 	net.Listener
-	slots chan struct{}
+	slots   chan struct{}
+	refused func() // told of each connection that finds no slot
 }
 
 func (l *limited) Accept() (net.Conn, error) {
@@ -86,6 +87,7 @@
 		case l.slots <- struct{}{}:
 			return &limitedConn{Conn: c, slots: l.slots}, nil
 		default:
+			l.refused()
 			c.Close()
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,6 +83,7 @@
 	limits []Team   // by team
 	within []bool   // by team: it uses less than its guarantee
 
+	overloadedAt  time.Duration // when requests were last turned away here, 0: never
 	wokeAt        time.Duration // when it last went on after it had stood still, 0: never
 	cutOffUntil   time.Duration
 	cloudOK       time.Duration // when the cloud last answered a listing
@@ -199,6 +200,8 @@
 		c.beat(e)
 	case PeerMessage:
 		c.hear(e.From, e.Message)
+	case Overloaded:
+		c.overloadedAt = c.now
 	}
 	return c.out
 }
@@ -274,6 +277,14 @@
 	}
 }
 
+// overloaded says whether requests were turned away or dropped here lately. Until every
+// worker has had time to try twice more, silence speaks against nobody, and neither do
+// calls that were not answered: an owner that had too little of its processor for its
+// machines gave thousands of them back that were well.
+func (c *Core) overloaded() bool {
+	return c.overloadedAt > 0 && c.now < c.overloadedAt+2*c.cfg.Report+5*time.Second
+}
+
 // sure says whether the state service has confirmed this controller's lease
 // since it last stood still. Before that its parts may long be others', and it
 // neither returns nor hires machines for them.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -281,6 +281,9 @@
 		Req uint64
 		ID  string
 	}
+	// Overloaded says that requests were turned away here for want of sockets or room, or
+	// dropped because their senders had given up before they were looked at.
+	Overloaded struct{}
 	// Beat is a worker's report.
 	Beat struct {
 		Req    uint64
--- a/internal/core/launches.go
+++ b/internal/core/launches.go
@@ -215,9 +215,10 @@
 
 // greet makes a worker known to its new owner: an empty order with the new
 // token, so that it drops what a stale owner says and shows that it hears me.
-// A worker that has not reported yet is asked for its session first.
+// A worker that has not reported yet is asked for its session first. An owner that is
+// overloaded leaves it at the answers to reports, which carry the token as well.
 func (c *Core) greet(p *part, h *host) {
-	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning || c.greets >= max(c.cfg.WorkerCalls/2, leastGreets) {
+	if h.token >= p.tenure || h.greeting || h.addr == "" || c.now < h.greetAt || h.state == returning || c.overloaded() || c.greets >= max(c.cfg.WorkerCalls/2, leastGreets) {
 		return
 	}
 	c.greets++
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -13,7 +13,7 @@
 		h.unheard = 0
 		return
 	}
-	if h.lastHeard <= h.unheardAt {
+	if h.lastHeard <= h.unheardAt || c.overloaded() {
 		return
 	}
 	h.unheardAt = c.now
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -139,7 +139,7 @@
 			return "deaf"
 		}
 		limit := c.cfg.Knobs.SilentReturn
-		if cutOff || c.now < p.loadedAt+c.cfg.Report*3 {
+		if cutOff || c.overloaded() || c.now < p.loadedAt+c.cfg.Report*3 {
 			limit = c.cfg.Lease + 15*time.Second
 		}
 		if h.unlisted >= unlistedTwice && silent > c.cfg.Report*5/4+time.Second {
--- /dev/null
+++ b/internal/fake/overload_test.go
@@ -0,0 +1,45 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"roadcleat/internal/core"
+)
+
+// silentWorkers has a third of the machines reach no controller for a while, in a zone
+// whose owner turns requests away or does not, and returns how many were given back.
+func silentWorkers(t *testing.T, seed uint64, overloaded bool) int {
+	w := cardDay(t, seed, 8*time.Second, 40)
+	for i := range 12 {
+		w.Submit(sweep(fmt.Sprintf("job-%02d", i), 24, 200), 200*time.Second)
+	}
+	require.True(t, w.Until(2*time.Minute, func() bool { return w.Referee.Starts >= 12*24 }))
+	w.Run(20 * time.Second)
+	before := returned(w)
+	const silence = 25 * time.Second // beyond the silence that machines are returned for, within a lease
+	for i, k := range w.Alive() {
+		if i%3 == 0 {
+			w.Mute(k, silence)
+		}
+	}
+	for end := w.Now + silence; w.Now < end; w.Run(time.Second) {
+		if overloaded {
+			for _, n := range w.Nodes {
+				n.handle(core.Overloaded{})
+			}
+		}
+	}
+	return returned(w) - before
+}
+
+func TestAnOverloadedOwnerGivesNoSilentMachineBack(t *testing.T) {
+	// One small owner of 6,000 machines turned reports away and returned 3,220 machines
+	// whose reports it had not taken.
+	assert.Zero(t, silentWorkers(t, 930, true))
+	assert.Positive(t, silentWorkers(t, 930, false), "without it they are silent for too long")
+}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"roadcleat/internal/agent"
@@ -52,6 +53,7 @@
 	seen  *metrics.Set
 
 	queue   chan command
+	refused atomic.Bool // something was turned away since the core was last told
 	start   time.Time
 	reqs    uint64
 	waiting map[uint64]chan any
@@ -79,6 +81,9 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			if r.refused.Swap(false) {
+				r.carryOut(ctx, r.core.Handle(r.now(), core.Overloaded{}))
+			}
 		case cmd := <-r.queue:
 			r.take(ctx, cmd)
 			for n := 1; n < batchLen; n++ {
@@ -111,6 +116,7 @@
 		// Nobody waits any more: it came while this process was behind or stood
 		// still. Carried out now, its answer would count as given: a machine whose
 		// report it is would seem to hear nothing.
+		r.Refused()
 		return
 	}
 	if cmd.ask != nil {
@@ -220,6 +226,9 @@
 	}
 }
 
+// Refused notes that a request of a worker or user was turned away here.
+func (r *Runtime) Refused() { r.refused.Store(true) }
+
 // Do hands an event to the core and waits for its answer. It fails at once
 // when too much is waiting already.
 func (r *Runtime) Do(ctx context.Context, event any) (any, error) {
@@ -227,6 +236,7 @@
 	select {
 	case r.queue <- cmd:
 	default:
+		r.Refused()
 		return nil, ErrBusy
 	}
 	select {
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -110,3 +110,13 @@
 		assert.NoError(t, <-done)
 	}
 }
+
+func TestRequestsThatAreTurnedAwayAreToldToTheCore(t *testing.T) {
+	r := newRuntime(4)
+	for range cap(r.queue) {
+		r.queue <- command{ask: func(*core.Core) {}, reply: make(chan any)}
+	}
+	_, err := r.Do(t.Context(), core.Beat{})
+	assert.ErrorIs(t, err, ErrBusy)
+	assert.True(t, r.refused.Load())
+}
