--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -529,21 +529,63 @@
 		c.yield(p, to, "its workers are heard elsewhere only")
 		return
 	}
-	if mine || home == nil {
+	if mine || len(p.refreshing) > 0 {
 		return
 	}
-	well := c.now < home.heard+1500*time.Millisecond && home.gossip != nil && home.gossip.StoreOK && !home.gossip.CutOff
-	if !well {
+	if home == nil {
+		if to := c.lessLoaded(p); to != nil {
+			c.yield(p, to, "it owns fewer")
+		}
+		return
+	}
+	if !home.well(c.now) {
 		p.homeUp = 0
 		return
 	}
 	if p.homeUp == 0 {
 		p.homeUp = c.now
 	}
-	if c.now < p.homeUp+5*time.Second || len(p.refreshing) > 0 {
-		return
+	if c.now >= p.homeUp+steadily {
+		c.yield(p, home, "its home is back")
+	}
+}
+
+// steadily is how long a controller must have been well to be handed a part.
+const steadily = 5 * time.Second
+
+// well says whether another controller is heard, reaches the state service and hears workers.
+func (q *peer) well(now time.Duration) bool {
+	return now < q.heard+1500*time.Millisecond && q.gossip != nil && q.gossip.StoreOK && !q.gossip.CutOff
+}
+
+// lessLoaded names the controller that owns at least two parts fewer than this one, if
+// there is any, for a part of a zone without a controller. Such a part has no home to go
+// back to: after the others had ended for a while, one controller kept the machines of
+// all zones for ever, more than it could serve.
+func (c *Core) lessLoaded(p *part) *peer {
+	if c.now < p.loadedAt+2*steadily {
+		return nil
+	}
+	owned, yielding := 0, false
+	owns := map[string]int{}
+	for _, q := range c.parts {
+		if q.mine || q.claiming {
+			owned++
+			yielding = yielding || q.yielding
+		} else {
+			owns[q.owner]++
+		}
+	}
+	var best *peer
+	for _, q := range c.peers {
+		if q.well(c.now) && c.now > q.bootAt+steadily && owns[q.Label]+2 <= owned && (best == nil || owns[q.Label] < owns[best.Label]) {
+			best = q
+		}
+	}
+	if yielding {
+		return nil // one after the other
 	}
-	c.yield(p, home, "its home is back")
+	return best
 }
 
 // dark says whether this controller looks after another zone's part of which it
--- a/internal/fake/overload_test.go
+++ b/internal/fake/overload_test.go
@@ -43,3 +43,26 @@
 	assert.Zero(t, silentWorkers(t, 930, true))
 	assert.Positive(t, silentWorkers(t, 930, false), "without it they are silent for too long")
 }
+
+func TestPartsWithoutAHomeGoToControllersThatOwnFewer(t *testing.T) {
+	// All controllers are in zone a. One that was left alone for a while kept the machines
+	// of all zones for ever, while the others stood by.
+	w := cardDay(t, 931, 8*time.Second, 40)
+	job := w.Submit(sweep("job-1", 60, 100), 100*time.Second)
+	require.True(t, w.Until(time.Minute, started(w, "job-1", 60)))
+	w.Nodes[1].Restart(15 * time.Second)
+	w.Nodes[2].Restart(15 * time.Second)
+	w.Run(14 * time.Second)
+	for _, zone := range w.Cfg.Zones {
+		require.Equal(t, w.Nodes[0], w.OwnerOf(zone), "owner of zone %s", zone)
+	}
+	w.Run(40 * time.Second)
+	owners := map[*Node]int{}
+	for _, zone := range w.Cfg.Zones {
+		owners[w.OwnerOf(zone)]++
+	}
+	assert.Len(t, owners, 3, "one part each")
+	assert.Equal(t, w.Nodes[0], w.OwnerOf("a"), "a controller keeps the part of its own zone")
+	ends(t, w, job, 3*time.Minute)
+	assert.Equal(t, 60, job.Starts, "nothing is lost by it")
+}
