--- a/internal/fake/referee.go
+++ b/internal/fake/referee.go
@@ -82,6 +82,13 @@
 		r.broken("ran_cancelled", "%v starts on %s", id, k.name)
 	}
 	r.cancelled(job, id, k)
+	if r.w.limited(job.Spec.Team) {
+		r.quota(job, id, k)
+	}
+}
+
+// quota checks what the team's tasks use together.
+func (r *Referee) quota(job *Job, id core.TaskID, k *Worker) {
 	var used core.Amount
 	for t, ks := range r.where {
 		if j := r.w.Jobs[t.Job]; j.Spec.Team == job.Spec.Team {
@@ -106,25 +113,30 @@
 func (r *Referee) place(job *Job, id core.TaskID, k *Worker) {
 	s := &job.Spec
 	wrong := !k.allowed(s)
-	same := 0
+	if s.OneZone || s.Apart {
+		here, elsewhere := r.inZone(id.Job, k.zone)
+		wrong = wrong || s.OneZone && elsewhere > 0 || s.Apart && here > (s.Tasks+1)/2
+	}
+	if wrong {
+		r.broken("wrong_place", "%v starts on %s in %s", id, k.name, k.zone)
+	}
+}
+
+// inZone counts a job's tasks in a zone and in all others.
+func (r *Referee) inZone(job, zone string) (here, elsewhere int) {
 	for t, ks := range r.where {
-		if t.Job != id.Job {
+		if t.Job != job {
 			continue
 		}
 		for o := range ks {
-			if o.zone == k.zone {
-				same++
-			} else if s.OneZone {
-				wrong = true
+			if o.zone == zone {
+				here++
+			} else {
+				elsewhere++
 			}
 		}
 	}
-	if s.Apart && same > (s.Tasks+1)/2 {
-		wrong = true
-	}
-	if wrong {
-		r.broken("wrong_place", "%v starts on %s in %s", id, k.name, k.zone)
-	}
+	return here, elsewhere
 }
 
 // off is called when a task is no longer on a machine.
--- a/internal/fake/waiting.go
+++ b/internal/fake/waiting.go
@@ -31,13 +31,24 @@
 	return k.started && !k.gone && k.notice == 0 && k.token > 0 && k.w.Now >= k.hangUntil && !k.Faulty && k.Slow < 1.5
 }
 
-// allows says whether a team may use so much.
-func (w *World) allows(team string, used core.Amount) bool {
+// limit is a team's limit; none for a team that is not known.
+func (w *World) limit(team string) core.Amount {
 	i := slices.IndexFunc(w.Cfg.Teams, func(t core.Team) bool { return t.Name == team })
 	if i < 0 {
-		return true
+		return core.Amount{}
 	}
-	lim := w.Cfg.Teams[i].Limit
+	return w.Cfg.Teams[i].Limit
+}
+
+// limited says whether a team has any limit.
+func (w *World) limited(team string) bool {
+	lim := w.limit(team)
+	return lim.Cores > 0 || lim.Cards > 0
+}
+
+// allows says whether a team may use so much.
+func (w *World) allows(team string, used core.Amount) bool {
+	lim := w.limit(team)
 	return (lim.Cores == 0 || used.Cores <= lim.Cores+1e-6) && (lim.Cards == 0 || used.Cards <= lim.Cards+1e-6)
 }
 
