Backfill, preemption and handover by their names; the cost of a report as measured

Fillers are backfill, what yields is preemptible, a part that is laid down is handed over: identifiers, comments and test names. Names of reasons in status and metrics stay.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -188,9 +188,9 @@
 	s, err := Parse([]byte(good)) // two controllers with a tenth of a core, a report every 3 s
 	require.NoError(t, err)
 	for machines, want := range map[float64]string{
-		0: "", 900: "",
-		1500: "1500 machines report 500 times a second; a controller with 0.1 of a core takes about 333: one that is left alone",
-		4000: "4000 machines report 1333 times a second; a controller with 0.1 of a core takes about 333, 2 of them 667: more controllers",
+		0: "", 500: "",
+		900: "900 machines report 300 times a second; a controller with 0.1 of a core takes about 200: one that is left alone",
+		4000: "4000 machines report 1333 times a second; a controller with 0.1 of a core takes about 200, 2 of them 400: more controllers",
 	} {
 		o := DefaultOperator()
 		o.Machines = machines
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -243,9 +243,9 @@
 }
 
 // reportCost is what a worker's report costs its owner, in seconds of a whole core, with
-// all that follows from it: planning, records, orders. Measured on simulated machines:
-// owners of 800 to 1,500 machines use 0.2 to 0.3 ms for each.
-const reportCost = 0.0003
+// all that follows from it: planning, records, orders. On simulated days at about 4,000
+// machines controllers used 0.5 to 1.1 ms for each, on a processor at half the usual speed.
+const reportCost = 0.0005
 
 // tooManyReports says whether the operators' number of machines reports more often than the
 // controllers' shares of a core allow, all of them together and the last one alone.
--- a/internal/core/fillers.go
+++ b/internal/core/backfill.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// Fillers are work that only borrows: that of teams without a guarantee, and work of
-// the lowest priority beyond its team's guarantee. They take what others leave. The
-// room that the recent past says others will want again is kept free of them, no
-// dear machine is hired for them, and where others lack room all the same, fillers
-// that save their progress give way. Without that, long tasks that came in a quiet
+// Backfill is work that only borrows: that of teams without a guarantee, and work of
+// the lowest priority beyond its team's guarantee. It takes what others leave. The
+// room that the recent past says others will want again is kept free of it, no
+// dear machine is hired for it, and where others lack room all the same, backfill
+// that saves its progress is preempted. Without that, long tasks that came in a quiet
 // hour held the machines, and every later peak of urgent work waited for them.
 
 // seeTeams notes which teams use less than their guarantee.
@@ -22,36 +22,36 @@
 	}
 }
 
-// filler says whether a job only borrows.
-func (c *Core) filler(j *job) bool {
+// backfills says whether a job only borrows.
+func (c *Core) backfills(j *job) bool {
 	if j.team < 0 {
 		return false
 	}
 	return c.limits[j.team].Guarantee == (Amount{}) || j.spec.Priority == priorities-1 && !c.within[j.team]
 }
 
-// yields says whether a running task may be stopped at little loss for a job that
+// preemptible says whether a running task may be stopped at little loss for a job that
 // needs its room.
-func (c *Core) yields(t *task) bool {
+func (c *Core) preemptible(t *task) bool {
 	j := t.job()
-	return j != nil && j.standing == Pending && t.phase == onHost && !t.halting && c.filler(j) &&
+	return j != nil && j.standing == Pending && t.phase == onHost && !t.halting && c.backfills(j) &&
 		(j.spec.Checkpoint > 0 || t.state == Fetching)
 }
 
-// kept is what is kept free of fillers, in cores by pool of machine types.
+// kept is what is kept free of backfill, in cores by pool of machine types.
 type kept struct {
 	pools []uint64
 	cores []float64
 }
 
-// fillShare is the part of the machines that is not kept free of fillers however much
+// backfillShare is the part of the machines that is not kept free of backfill however much
 // others want: small work of theirs need not wait for a quiet hour.
-const fillShare = 1.0 / 16
+const backfillShare = 1.0 / 16
 
-// fillRoom is what fillers may still take of the part's machines, by pool: what is
-// there, less what others use or are likely to want again, less what fillers have.
-func (c *Core) fillRoom(p *part) []float64 {
-	total, fillers, others := make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools))
+// roomForBackfill is what backfill may still take of the part's machines, by pool: what is
+// there, less what others use or are likely to want again, less what backfill have.
+func (c *Core) roomForBackfill(p *part) []float64 {
+	total, backfill, others := make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools)), make([]float64, len(p.keep.pools))
 	for _, h := range p.hostList() {
 		if !h.planned(c.now) || h.state != up {
 			continue
@@ -59,8 +59,8 @@
 		i := poolOf(p.keep.pools, h.typ)
 		total[i] += c.types[h.typ].Total.Cores
 		for _, t := range h.tasks {
-			if j := t.job(); j != nil && c.filler(j) {
-				fillers[i] += c.takes(t.need, h.typ)
+			if j := t.job(); j != nil && c.backfills(j) {
+				backfill[i] += c.takes(t.need, h.typ)
 			} else {
 				others[i] += c.takes(t.need, h.typ)
 			}
@@ -68,15 +68,15 @@
 	}
 	room := make([]float64, len(total))
 	for i := range room {
-		kept := max(others[i], min(p.keep.cores[i], total[i]*(1-fillShare)))
-		room[i] = total[i] - kept - fillers[i]
+		kept := max(others[i], min(p.keep.cores[i], total[i]*(1-backfillShare)))
+		room[i] = total[i] - kept - backfill[i]
 	}
 	return room
 }
 
-// fillable is the machines of pools in which a filler's tasks still have room, and how
+// backfillCandidates is the machines of pools in which a backfill job's tasks still have room, and how
 // many of them all pools together may take.
-func (c *Core) fillable(k *kept, j *job, all []device, left []float64) (fit []device, most int) {
+func (c *Core) backfillCandidates(k *kept, j *job, all []device, left []float64) (fit []device, most int) {
 	for _, d := range all {
 		if left[poolOf(k.pools, d.host.typ)] >= c.takes(j.spec.Need, d.host.typ) {
 			fit = append(fit, d)
@@ -93,9 +93,9 @@
 	return fit, most
 }
 
-// fillOn is what fillers may still take of a part's machines of a type, as its owner
+// backfillRoomOn is what backfill may still take of a part's machines of a type, as its owner
 // last said or as was last reckoned here.
-func (c *Core) fillOn(p *part, typ int) float64 {
+func (c *Core) backfillRoomOn(p *part, typ int) float64 {
 	if !p.mine || !p.loaded {
 		if p.view == nil {
 			return 0
@@ -105,57 +105,57 @@
 	if p.keep.pools == nil {
 		return 0
 	}
-	if p.fill == nil || c.now > p.fillAt+500*time.Millisecond {
-		p.fill, p.fillAt = c.fillRoom(p), c.now
+	if p.backfillRoom == nil || c.now > p.backfillAt+500*time.Millisecond {
+		p.backfillRoom, p.backfillAt = c.roomForBackfill(p), c.now
 	}
-	return p.fill[poolOf(p.keep.pools, typ)]
+	return p.backfillRoom[poolOf(p.keep.pools, typ)]
 }
 
-// fullCost is by how many seconds a part without room for fillers is worse for one
+// fullCost is by how many seconds a part without room for backfill is worse for one
 // than a part with some.
 const fullCost = 30.0
 
-// beginWith is how many tasks of a filler that has waited far too long for its first
+// beginWith is how many tasks of a backfill job that has waited far too long for its first
 // start at once, whatever is kept for others.
 const beginWith = 4
 
-// keeps says whether a filler leaves alone what is kept for others. One that has been
+// keeps says whether a backfill job leaves alone what is kept for others. One that has been
 // there for very long does not any more; it still comes after all others.
 func (c *Core) keeps(s *slice) bool {
-	return c.filler(s.job) && !c.overdue(s) && !c.leftOut(s) && c.now <= s.job.since+endBy
+	return c.backfills(s.job) && !c.overdue(s) && !c.leftOut(s) && c.now <= s.job.since+endBy
 }
 
-// fillerWaits is how long all of a filler may wait beside room that is kept for others.
-const fillerWaits = time.Minute
+// backfillWaits is how long all of a backfill job may wait beside room that is kept for others.
+const backfillWaits = time.Minute
 
-// leftOut says whether nothing of a filler has run here for so long that some of it starts
+// leftOut says whether nothing of a backfill job has run here for so long that some of it starts
 // whatever is kept for others. Time spent in other parts counts: what was moved for want
 // of room had waited its minute there, and waited another one in each part.
 func (c *Core) leftOut(s *slice) bool {
-	return len(s.tasks) == 0 && c.now > max(s.job.since, s.bareAt)+fillerWaits
+	return len(s.tasks) == 0 && c.now > max(s.job.since, s.bareAt)+backfillWaits
 }
 
-// givesWay says whether a task may be stopped so that one of job j's starts in its room:
+// preemptibleFor says whether a task may be stopped so that one of job j's starts in its room:
 // what only borrows, and any array of lower priority for the replicas of a service. A
 // replica that is missing is missed every second, and it stays: stopped once, the
 // array's task starts elsewhere and that room is the service's for good.
-func (c *Core) givesWay(t *task, j *job) bool {
+func (c *Core) preemptibleFor(t *task, j *job) bool {
 	v := t.job()
-	if c.yields(t) {
+	if c.preemptible(t) {
 		return v.spec.Priority > j.spec.Priority || c.within[j.team]
 	}
 	return v != nil && j.spec.Service && !v.spec.Service && v.spec.Priority > j.spec.Priority &&
 		v.standing == Pending && t.phase == onHost && !t.halting
 }
 
-// yielding lists the machines with tasks that would give way to somebody.
-func (c *Core) yielding(p *part) []*host {
-	return c.usableWith(p, c.yields)
+// preemptibleHosts lists the machines with tasks that would give way to somebody.
+func (c *Core) preemptibleHosts(p *part) []*host {
+	return c.usableWith(p, c.preemptible)
 }
 
-// yieldingTo lists those with tasks that would give way to a service's replicas.
-func (c *Core) yieldingTo(p *part, j *job) []*host {
-	return c.usableWith(p, func(t *task) bool { return c.givesWay(t, j) })
+// preemptibleHostsFor lists those with tasks that would give way to a service's replicas.
+func (c *Core) preemptibleHostsFor(p *part, j *job) []*host {
+	return c.usableWith(p, func(t *task) bool { return c.preemptibleFor(t, j) })
 }
 
 func (c *Core) usableWith(p *part, which func(*task) bool) []*host {
@@ -181,11 +181,11 @@
 // would wait otherwise, and returns how many. As few are stopped as will do, those that lose
 // least first; they save if the job can wait for that. What is being made is
 // remembered, so that no plan asks for the same room twice.
-func (c *Core) makeRoom(p *part, s *slice, tasks int, by float64, yielding []*host) int {
+func (c *Core) makeRoom(p *part, s *slice, tasks int, by float64, hosts []*host) int {
 	j := s.job
 	s.making = slices.DeleteFunc(s.making, func(until time.Duration) bool { return c.now >= until })
 	tasks -= len(s.making)
-	if tasks <= 0 || c.filler(j) || j.spec.Gang || j.doubt > 0 {
+	if tasks <= 0 || c.backfills(j) || j.spec.Gang || j.doubt > 0 {
 		return len(s.making)
 	}
 	type offer struct {
@@ -196,7 +196,7 @@
 		loss    float64
 	}
 	var offers []offer
-	for _, h := range yielding {
+	for _, h := range hosts {
 		if !h.usable(c.now) || !c.allowedOn(j, c.kind(p.zone, h.typ, h.spot)) {
 			continue
 		}
@@ -207,7 +207,7 @@
 		for _, id := range sortedTasks(h.tasks) { // sums must not depend on a map's order
 			t := h.tasks[id]
 			o.free = o.free.plus(t.need, -1)
-			if c.givesWay(t, j) {
+			if c.preemptibleFor(t, j) {
 				o.victims = append(o.victims, t)
 				o.loss += c.lossOf(t)
 			}
--- a/internal/core/dealing.go
+++ b/internal/core/dealing.go
@@ -75,10 +75,10 @@
 	for z, p := range c.parts {
 		copy(queues[z*len(c.types):], c.queueFor(p, spec.Priority))
 	}
-	if c.filler(j) {
+	if c.backfills(j) {
 		for z, p := range c.parts {
 			for t := range c.types {
-				if c.fillOn(p, t) < c.takes(spec.Need, t) {
+				if c.backfillRoomOn(p, t) < c.takes(spec.Need, t) {
 					queues[z*len(c.types)+t] += fullCost
 				}
 			}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -64,9 +64,9 @@
 // addRunning adds a task that is on a machine.
 func (c *Core) addRunning(l *load, h *host, t *task) {
 	i, use, j := poolOf(l.pools, h.typ), c.takes(t.need, h.typ), t.job()
-	if j != nil && c.filler(j) {
+	if j != nil && c.backfills(j) {
 		l.filled[i] += use
-		if !c.yields(t) {
+		if !c.preemptible(t) {
 			l.firm[i] += use
 		}
 		return
@@ -80,7 +80,7 @@
 // addWaiting adds the tasks of a slice that could start if there were room.
 func (c *Core) addWaiting(p *part, l *load, s *slice) {
 	j := s.job
-	if j.standing != Pending || j.team < 0 || len(s.waiting) == 0 || c.filler(j) {
+	if j.standing != Pending || j.team < 0 || len(s.waiting) == 0 || c.backfills(j) {
 		return
 	}
 	typ := c.usualType(j)
@@ -117,7 +117,7 @@
 // once, room for what the recent past suggests, idle ones back when neither
 // needs them.
 func (c *Core) size(p *part) {
-	if len(c.types) == 0 || p.yielding || !c.sure() {
+	if len(c.types) == 0 || p.handingOver || !c.sure() {
 		return
 	}
 	defer c.pushHires(p)
@@ -143,7 +143,7 @@
 			c.hireFor(p, n, coming)
 		}
 	}
-	p.keep, p.fill = kept{l.pools, make([]float64, len(l.pools))}, nil
+	p.keep, p.backfillRoom = kept{l.pools, make([]float64, len(l.pools))}, nil
 	for i := range l.pools {
 		c.sizePool(p, l, i, may)
 	}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -409,7 +409,7 @@
 	Scarce []Offer // machines that were refused lately
 	Show   []Shown
 	Used   map[string]Amount
-	Fill   map[string]float64 // cores that fillers may take, by type
+	Fill   map[string]float64 // cores that backfill may take, by type
 	Queues []Queue            // what does not run yet, by class and team
 }
 
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -132,8 +132,8 @@
 		return plain(StoreAway)
 	case !c.mayStart():
 		return plain(ViewStale)
-	case p.yielding:
-		return plain(PartYielding)
+	case p.handingOver:
+		return plain(PartHandingOver)
 	case len(p.refreshing) > 0:
 		return plain(OutcomeUnknown)
 	case j.doubt > 0:
--- a/internal/core/hiring.go
+++ b/internal/core/hiring.go
@@ -100,13 +100,13 @@
 			continue
 		}
 		boot := duration(c.types[typ].BootS)
-		if c.filler(n.job) {
+		if c.backfills(n.job) {
 			s := p.slices[n.job.id]
 			if s == nil || c.now < n.job.since+boot && c.queueFor(p, priorities)[typ] < seconds(boot) {
 				return
 			}
 			if !o.Spot && n.job.spec.Spot {
-				// No dear machine for those who only fill room, as long as they can wait.
+				// No dear machine for backfill, as long as they can wait.
 				if c.sendAway(p, n.job, short) || c.keeps(s) {
 					return
 				}
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -16,7 +16,7 @@
 // now. They are on no machine for certain; one transaction on both slices and
 // the job changes hands.
 func (c *Core) maybeMove(p *part) {
-	if p.moving || c.now < p.moveAt || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 || !c.mayStart() {
+	if p.moving || c.now < p.moveAt || p.committing || p.claiming || p.handingOver || len(p.refreshing) > 0 || !c.mayStart() {
 		return
 	}
 	dark := c.dark(p) // machines that should be up any moment are not heard either
@@ -54,20 +54,20 @@
 	}
 	var best *part
 	most := 0
-	now, typ, fills, at := seconds(c.now), c.usualType(j), c.filler(j), 32
+	now, typ, backfills, at := seconds(c.now), c.usualType(j), c.backfills(j), 32
 	if typ < 0 {
 		return nil, 0
 	}
-	if fills && c.leftOut(s) {
-		fills, at = false, beginWith // a few may go where they may not fill, and start there
+	if backfills && c.leftOut(s) {
+		backfills, at = false, beginWith // a few may go where they may not as backfill, and start there
 	}
 	for _, q := range c.parts {
 		if q == p || !c.current(q) {
 			continue
 		}
-		fill := 0.0
-		if fills {
-			if fill = c.fillOn(q, typ); fill < max(c.takes(j.spec.Need, typ), 1) {
+		room := 0.0
+		if backfills {
+			if room = c.backfillRoomOn(q, typ); room < max(c.takes(j.spec.Need, typ), 1) {
 				continue
 			}
 		}
@@ -81,8 +81,8 @@
 				fits += d.FreeFor(step, now, now+1)
 			}
 		}
-		if fills {
-			fits = min(fits, count(fill/c.takes(j.spec.Need, typ)))
+		if backfills {
+			fits = min(fits, count(room/c.takes(j.spec.Need, typ)))
 		}
 		if fits > most {
 			best, most = q, fits
@@ -125,7 +125,7 @@
 	key := sliceKey(to.name, j.id)
 	c.read(key, true, func(res ReadResult) {
 		p.moving = false
-		if res.Outcome != OK || !p.mine || p.token != token || p.committing || p.claiming || p.yielding ||
+		if res.Outcome != OK || !p.mine || p.token != token || p.committing || p.claiming || p.handingOver ||
 			len(p.refreshing) > 0 || p.slices[j.id] != s || j.standing != Pending || len(s.settled) > 0 {
 			return
 		}
@@ -194,7 +194,7 @@
 // dear machines were hired here for a peak that had gone elsewhere.
 func (c *Core) forgetDemand(p *part, j *job, tasks int) {
 	typ := c.usualType(j)
-	if typ < 0 || c.filler(j) {
+	if typ < 0 || c.backfills(j) {
 		return
 	}
 	i := poolOf(c.pools(), typ)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -20,14 +20,14 @@
 	removed   uint64 // revision at which the key was last seen gone
 	offered   bool   // its last owner named this controller
 
-	mine     bool
-	token    uint64
-	tenure   uint64 // first token of my unbroken ownership
-	claiming bool
-	yielding bool // told to stop: commit nothing, answer nobody
-	loading  bool
-	loaded   bool
-	blindAt  time.Duration // since when its slices are not known, if not loaded
+	mine        bool
+	token       uint64
+	tenure      uint64 // first token of my unbroken ownership
+	claiming    bool
+	handingOver bool // told to stop: commit nothing, answer nobody
+	loading     bool
+	loaded      bool
+	blindAt     time.Duration // since when its slices are not known, if not loaded
 	// What a new owner knows of its machines.
 	fleetListed bool          // the cloud's list of a moment after the claim has been read
 	freshStart  bool          // there was no work yet
@@ -60,16 +60,16 @@
 	hireSeq int
 	hiring  []*hire
 	scarce  map[Offer]time.Duration
-	demand  []sample // of work that is no filler
+	demand  []sample // of work that is no backfill
 	// When this ownership saw its first demand.
-	demandFrom time.Duration
-	keep       kept
-	fill       []float64 // what fillers may take, by pool, as of fillAt
-	fillAt     time.Duration
-	shortage   []need
-	export     map[string]export // by job
-	loadedAt   time.Duration
-	loadAt     time.Duration // when the load is logged next
+	demandFrom   time.Duration
+	keep         kept
+	backfillRoom []float64 // what backfill may take, by pool, as of backfillAt
+	backfillAt   time.Duration
+	shortage     []need
+	export       map[string]export // by job
+	loadedAt     time.Duration
+	loadAt       time.Duration // when the load is logged next
 
 	moving    bool // tasks are on their way to another part
 	moveAt    time.Duration
@@ -270,11 +270,11 @@
 	for _, p := range c.parts {
 		switch {
 		case p.mine:
-			c.maybeYield(p)
+			c.maybeHandOver(p)
 			if !p.loaded && !p.loading {
 				c.load(p)
 			}
-			if p.reclaimAt > 0 && c.now >= p.reclaimAt && p.loaded && !p.committing && !p.yielding {
+			if p.reclaimAt > 0 && c.now >= p.reclaimAt && p.loaded && !p.committing && !p.handingOver {
 				p.reclaimAt = 0
 				if slices.ContainsFunc(p.hostList(), func(h *host) bool { return c.launchMayCome(p, h) }) {
 					c.claim(p)
@@ -517,16 +517,16 @@
 	}
 }
 
-// maybeYield hands a part to its home controller once that one is steadily
+// maybeHandOver hands a part to its home controller once that one is steadily
 // back. The old owner stops first, then drops the key.
-func (c *Core) maybeYield(p *part) {
+func (c *Core) maybeHandOver(p *part) {
 	mine, home := c.homeOf(p)
-	if !p.loaded || p.committing || p.claiming || p.yielding {
+	if !p.loaded || p.committing || p.claiming || p.handingOver {
 		return
 	}
 	if to := c.heardBy(p); to != nil {
 		c.cutOffUntil = c.now + cutOffFor
-		c.yield(p, to, "its workers are heard elsewhere only")
+		c.handOver(p, to, "its workers are heard elsewhere only")
 		return
 	}
 	if mine || len(p.refreshing) > 0 {
@@ -534,7 +534,7 @@
 	}
 	if home == nil {
 		if to := c.lessLoaded(p); to != nil {
-			c.yield(p, to, "it owns fewer")
+			c.handOver(p, to, "it owns fewer")
 		}
 		return
 	}
@@ -546,7 +546,7 @@
 		p.homeUp = c.now
 	}
 	if c.now >= p.homeUp+steadily {
-		c.yield(p, home, "its home is back")
+		c.handOver(p, home, "its home is back")
 	}
 }
 
@@ -566,12 +566,12 @@
 	if c.now < p.loadedAt+2*steadily {
 		return nil
 	}
-	owned, yielding := 0, false
+	owned, handingOver := 0, false
 	owns := map[string]int{}
 	for _, q := range c.parts {
 		if q.mine || q.claiming {
 			owned++
-			yielding = yielding || q.yielding
+			handingOver = handingOver || q.handingOver
 		} else {
 			owns[q.owner]++
 		}
@@ -582,7 +582,7 @@
 			best = q
 		}
 	}
-	if yielding {
+	if handingOver {
 		return nil // one after the other
 	}
 	return best
@@ -638,10 +638,10 @@
 	return nil
 }
 
-// yield lays a part down: stop first, then drop the key, then tell who should
+// handOver lays a part down: stop first, then drop the key, then tell who should
 // take it.
-func (c *Core) yield(p *part, to *peer, why string) {
-	p.yielding = true
+func (c *Core) handOver(p *part, to *peer, why string) {
+	p.handingOver = true
 	c.note(1, "part handed over", "part", p.name, "token", p.token, "to", to.Label, "why", why)
 	name := p.name
 	c.commit(Txn{Guards: []Guard{{p.key(), p.stamp}}, Apply: []Set{{Key: p.key()}}}, true, func(CommitResult) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, p := range c.parts {
-		if p.mine && p.loaded && !p.yielding {
+		if p.mine && p.loaded && !p.handingOver {
 			v := c.viewOf(p)
 			c.shown[p.name] = v.Show
 			g.Parts = append(g.Parts, v)
@@ -190,7 +190,7 @@
 	v.Queue = c.backlog(p)
 	v.Fill = map[string]float64{}
 	for t := range c.types {
-		if room := c.fillOn(p, t); room > 0 {
+		if room := c.backfillRoomOn(p, t); room > 0 {
 			v.Fill[c.types[t].Name] = math.Floor(room)
 		}
 	}
@@ -244,7 +244,7 @@
 		// milliseconds add up to the same in any order.
 		sum, uses := 0.0, 0.0
 		for _, t := range h.tasks {
-			if c.yields(t) {
+			if c.preemptible(t) {
 				continue // it gives way to what is dealt here
 			}
 			g.Used = g.Used.plus(t.need, 1)
--- a/internal/core/planning.go
+++ b/internal/core/planning.go
@@ -23,7 +23,7 @@
 
 // work does what is due for a part: plans, records, sends.
 func (c *Core) work(p *part) {
-	if p.yielding {
+	if p.handingOver {
 		return
 	}
 	c.refresh(p)
@@ -175,7 +175,7 @@
 
 // hostDevice is a machine of a part owned here, with or without the room of those
 // who would give way.
-func (c *Core) hostDevice(h *host, yielded bool) device {
+func (c *Core) hostDevice(h *host, withoutPreemptible bool) device {
 	t := &c.types[h.typ]
 	now := seconds(c.now)
 	d := &plan.Device{Kind: c.kind(h.part.zone, h.typ, h.spot), Total: t.Total.plan(), Up: now,
@@ -198,7 +198,7 @@
 		d.Penalty = emptyCost // work that shares machines lets others go back
 	}
 	for _, t := range h.tasks {
-		if yielded && c.yields(t) {
+		if withoutPreemptible && c.preemptible(t) {
 			continue
 		}
 		d.Uses = append(d.Uses, plan.Use{Start: 0, End: seconds(c.expectedEnd(t)), Amount: t.need.plan()})
--- a/internal/core/planround.go
+++ b/internal/core/planround.go
@@ -42,14 +42,14 @@
 
 // planRound is one run of the programme over a part's ready jobs.
 type planRound struct {
-	c        *Core
-	p        *part
-	all      []device // the part's machines
-	devices  []*plan.Device
-	now      float64
-	longest  string    // the longest name of a machine, which a record must hold
-	left     []float64 // what backfill may still take, by pool; nil: not worked out yet
-	yielding []*host   // with backfill that may be stopped; nil: likewise
+	c           *Core
+	p           *part
+	all         []device // the part's machines
+	devices     []*plan.Device
+	now         float64
+	longest     string    // the longest name of a machine, which a record must hold
+	left        []float64 // what backfill may still take, by pool; nil: not worked out yet
+	preemptible []*host   // with backfill that may be stopped; nil: likewise
 	// What the round has cost: machines looked at and tasks placed.
 	looks, tasks int
 }
@@ -152,7 +152,7 @@
 		on.all, on.devices = fit, devicesOf(fit)
 	}
 	if !on.keeps {
-		if c.filler(j) && (c.overdue(s) || c.leftOut(s)) {
+		if c.backfills(j) && (c.overdue(s) || c.leftOut(s)) {
 			on.most = min(n, beginWith)
 		}
 		return on, true
@@ -161,9 +161,9 @@
 		return on, false // a new owner has yet to see what others need
 	}
 	if r.left == nil {
-		r.left = c.fillRoom(p) // those who come first have been placed
+		r.left = c.roomForBackfill(p) // those who come first have been placed
 	}
-	fit, most := c.fillable(&p.keep, j, on.all, r.left)
+	fit, most := c.backfillCandidates(&p.keep, j, on.all, r.left)
 	on.all, on.devices, on.most = fit, devicesOf(fit), min(n, most)
 	return on, true
 }
@@ -274,12 +274,12 @@
 func (r *planRound) offersTo(j *job, on candidates) []*host {
 	if j.spec.Service {
 		r.looks += len(on.devices)
-		return r.c.yieldingTo(r.p, j)
+		return r.c.preemptibleHostsFor(r.p, j)
 	}
-	if r.yielding == nil {
-		r.yielding = r.c.yielding(r.p)
+	if r.preemptible == nil {
+		r.preemptible = r.c.preemptibleHosts(r.p)
 	}
-	return r.yielding
+	return r.preemptible
 }
 
 // allNow says whether every task of a gang can start now.
--- a/internal/core/queues.go
+++ b/internal/core/queues.go
@@ -18,7 +18,7 @@
 	OtherReason
 	StoreAway
 	ViewStale
-	PartYielding
+	PartHandingOver
 	OutcomeUnknown
 	InDoubt
 	LimitUnknown
@@ -42,30 +42,30 @@
 
 // reasons gives each reason's name, as JSON and metrics have it, and what tables say.
 var reasons = [...]struct{ name, text string }{
-	NoReason:       {"none", "nothing waits"},
-	OtherReason:    {"other", "a reason that only a newer version knows"},
-	StoreAway:      {"store_away", "the state service is out of reach"},
-	ViewStale:      {"view_stale", "withdrawals may not be heard in time: the view of the jobs is stale"},
-	PartYielding:   {"part_yielding", "the part is being handed over"},
-	OutcomeUnknown: {"outcome_unknown", "a transaction's outcome is being looked up"},
-	InDoubt:        {"in_doubt", "its tasks fail on every machine"},
-	LimitUnknown:   {"limit_unknown", "the team's grants are not known yet"},
-	AtLimit:        {"at_limit", "the team's limit is used up"},
-	LaunchRefused:  {"launch_refused", "its last start was refused a moment ago"},
-	GangLeaving:    {"gang_leaving", "the gang's last try is still on its machines"},
-	HeldBack:       {"held_back", "it only fills room, and none is left over by others"},
-	RecordFull:     {"record_full", "as many of its tasks are placed as its record can list"},
-	Booting:        {"booting", "no room; machines are booting"},
-	Hiring:         {"hiring", "no room; machines are being asked for"},
-	NoCapacity:     {"no_capacity", "no room; the cloud has no machine to give"},
-	OutOfRoom:      {"no_room", "no room on the machines there are"},
-	ImageFetch:     {"image_fetch", "its image is being fetched"},
-	Launching:      {"launching", "it is placed and not reported running yet"},
-	PartDark:       {"part_dark", "none of the part's workers is heard"},
-	PartUnowned:    {"part_unowned", "the part has no owner"},
-	PartUnheard:    {"part_unheard", "the part's owner has not been heard of lately"},
-	PartLoading:    {"part_loading", "the part's new owner is loading it"},
-	TeamUnknown:    {"team_unknown", "the settings do not name its team"},
+	NoReason:        {"none", "nothing waits"},
+	OtherReason:     {"other", "a reason that only a newer version knows"},
+	StoreAway:       {"store_away", "the state service is out of reach"},
+	ViewStale:       {"view_stale", "withdrawals may not be heard in time: the view of the jobs is stale"},
+	PartHandingOver: {"part_yielding", "the part is being handed over"},
+	OutcomeUnknown:  {"outcome_unknown", "a transaction's outcome is being looked up"},
+	InDoubt:         {"in_doubt", "its tasks fail on every machine"},
+	LimitUnknown:    {"limit_unknown", "the team's grants are not known yet"},
+	AtLimit:         {"at_limit", "the team's limit is used up"},
+	LaunchRefused:   {"launch_refused", "its last start was refused a moment ago"},
+	GangLeaving:     {"gang_leaving", "the gang's last try is still on its machines"},
+	HeldBack:        {"held_back", "it only fills room, and none is left over by others"},
+	RecordFull:      {"record_full", "as many of its tasks are placed as its record can list"},
+	Booting:         {"booting", "no room; machines are booting"},
+	Hiring:          {"hiring", "no room; machines are being asked for"},
+	NoCapacity:      {"no_capacity", "no room; the cloud has no machine to give"},
+	OutOfRoom:       {"no_room", "no room on the machines there are"},
+	ImageFetch:      {"image_fetch", "its image is being fetched"},
+	Launching:       {"launching", "it is placed and not reported running yet"},
+	PartDark:        {"part_dark", "none of the part's workers is heard"},
+	PartUnowned:     {"part_unowned", "the part has no owner"},
+	PartUnheard:     {"part_unheard", "the part's owner has not been heard of lately"},
+	PartLoading:     {"part_loading", "the part's new owner is loading it"},
+	TeamUnknown:     {"team_unknown", "the settings do not name its team"},
 }
 
 func (r Reason) known() Reason {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -251,7 +251,7 @@
 		c.readQuota(q)
 		return false
 	}
-	if q.busy || p.committing || p.claiming || p.yielding || len(p.refreshing) > 0 {
+	if q.busy || p.committing || p.claiming || p.handingOver || len(p.refreshing) > 0 {
 		return false
 	}
 	mine, used, lim := q.grants[p.name], p.used[team], c.limits[team].Limit
--- a/internal/core/ranking.go
+++ b/internal/core/ranking.go
@@ -16,11 +16,11 @@
 
 func (c *Core) overdue(s *slice) bool {
 	age := c.now - s.job.since
-	return age > endBy && !c.filler(s.job) || age > beginBy && len(s.tasks)+len(s.done) == 0
+	return age > endBy && !c.backfills(s.job) || age > beginBy && len(s.tasks)+len(s.done) == 0
 }
 
 // ready lists the slices with waiting tasks in the order they are served:
-// those that wait far too long first, fillers last, then by priority, teams within their
+// those that wait far too long first, backfill last, then by priority, teams within their
 // guarantee first, then by the time left to their aim or deadline. Jobs that can
 // no longer make it come after those that can: with more work than room, the
 // earliest deadline first would have all of them late by a little.
@@ -33,17 +33,17 @@
 	}
 	slots := c.slotsOf(p)
 	type key struct {
-		late, fills, lost bool
-		by                float64
+		late, backfills, lost bool
+		by                    float64
 	}
 	keys := make(map[*slice]key, len(list))
 	for _, s := range list {
-		rounds, fills := float64(s.waiting.count())/max(slots(s.job), 1), c.filler(s.job)
-		if fills && !c.hasAims(s.job) {
+		rounds, backfills := float64(s.waiting.count())/max(slots(s.job), 1), c.backfills(s.job)
+		if backfills && !c.hasAims(s.job) {
 			rounds = 0 // the oldest first, so that some end instead of all being half done
 		}
 		by, lost := c.startBy(s.job, rounds)
-		keys[s] = key{c.overdue(s), fills, lost, by}
+		keys[s] = key{c.overdue(s), backfills, lost, by}
 	}
 	slices.SortFunc(list, func(a, b *slice) int {
 		x, y := a.job, b.job
@@ -61,7 +61,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(first(kx.late, ky.late), first(ky.fills, kx.fills), byPriority, first(c.within[x.team], c.within[y.team]), first(ky.lost, kx.lost),
+		return cmp.Or(first(kx.late, ky.late), first(ky.backfills, kx.backfills), byPriority, first(c.within[x.team], c.within[y.team]), first(ky.lost, kx.lost),
 			cmp.Compare(kx.by, ky.by), cmp.Compare(x.id, y.id))
 	})
 	return list
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -37,7 +37,7 @@
 func (c *Core) beat(e Beat) {
 	rep := &e.Report
 	p := c.parts[c.zone(rep.Zone)]
-	if !p.mine || p.yielding {
+	if !p.mine || p.handingOver {
 		if c.heard[rep.Zone] == nil {
 			c.heard[rep.Zone] = map[string]time.Duration{}
 		}
--- a/internal/core/returns.go
+++ b/internal/core/returns.go
@@ -70,7 +70,7 @@
 func (c *Core) keepHosts() {
 	c.listHosts()
 	for _, p := range c.parts {
-		if !p.mine || p.yielding {
+		if !p.mine || p.handingOver {
 			continue
 		}
 		sure := c.sure()
--- a/internal/core/slices.go
+++ b/internal/core/slices.go
@@ -463,7 +463,7 @@
 			p.dirty[id] = s
 		}
 	}
-	if len(p.dirty)+len(p.finishing) == 0 || p.committing || p.claiming || p.yielding || c.now < p.retryAt || len(p.refreshing) > 0 {
+	if len(p.dirty)+len(p.finishing) == 0 || p.committing || p.claiming || p.handingOver || c.now < p.retryAt || len(p.refreshing) > 0 {
 		return
 	}
 	w := &writing{part: p, slices: map[string]*slice{}, settled: map[*slice]map[int]outcome{},
--- a/internal/fake/left_test.go
+++ b/internal/fake/left_test.go
@@ -32,7 +32,7 @@
 	ends(t, w, large, 15*time.Minute)
 }
 
-func TestAFillerBesideRoomThatIsKeptForOthersStartsSoon(t *testing.T) {
+func TestABackfillJobBesideRoomThatIsKeptForOthersStartsSoon(t *testing.T) {
 	w := oneController(t, 72, func(c *core.Config) { *c = guests(*c) })
 	for k := range w.Cloud.Room {
 		w.Cloud.Room[k] = 0
@@ -42,10 +42,10 @@
 	require.True(t, w.Until(60*time.Second, started(w, "job-1", 3)))
 	s := spec("job-2", "guest", 1, 4)
 	s.Class, s.Priority = "visit", 3
-	filler := w.Submit(s, 5*time.Second)
+	backfill := w.Submit(s, 5*time.Second)
 	w.Run(20 * time.Second)
-	require.Zero(t, filler.Starts, "what is left of the machine is kept for others")
-	ends(t, w, filler, 90*time.Second)
+	require.Zero(t, backfill.Starts, "what is left of the machine is kept for others")
+	ends(t, w, backfill, 90*time.Second)
 	assert.False(t, busy.Over())
 }
 
--- a/internal/fake/ops_test.go
+++ b/internal/fake/ops_test.go
@@ -159,7 +159,7 @@
 	})
 	sweep := spec("job-1", "guest", 60, 4)
 	sweep.Class, sweep.Priority, sweep.Checkpoint, sweep.Save, sweep.Estimate = "sweep", 3, 20, 2, 100
-	filler := w.Submit(sweep, 100*time.Second)
+	backfill := w.Submit(sweep, 100*time.Second)
 	// Every cheap machine that there is: 6 small and 6 large ones hold 30 tasks.
 	require.True(t, w.Until(90*time.Second, started(w, "job-1", 30)))
 	dear := 0
@@ -182,23 +182,23 @@
 	normal := w.Submit(n, 10*time.Second)
 	require.True(t, w.Until(12*time.Second, began(normal, 4)), "room is made once they have saved: %d", normal.Starts)
 	saved := 0
-	for _, p := range filler.Saved {
+	for _, p := range backfill.Saved {
 		if p > 0 && p%(20*time.Second) != 0 {
 			saved++
 		}
 	}
 	assert.Positive(t, saved, "those had the time to save all")
-	stopped := filler.Starts
+	stopped := backfill.Starts
 	ends(t, w, urgent, 60*time.Second)
 	ends(t, w, normal, 60*time.Second)
 	w.Cloud.Room = room
-	ends(t, w, filler, 9*time.Minute)
+	ends(t, w, backfill, 9*time.Minute)
 	// Twelve tasks needed room, so about as many had to go, each once.
-	assert.LessOrEqual(t, filler.Starts, 60+20)
+	assert.LessOrEqual(t, backfill.Starts, 60+20)
 	assert.GreaterOrEqual(t, stopped, 30)
 }
 
-func TestFillersLeaveAloneWhatOthersWantAgain(t *testing.T) {
+func TestBackfillLeavesAloneWhatOthersWantAgain(t *testing.T) {
 	w := oneController(t, 66, func(c *core.Config) { *c = guests(*c) })
 	n := 10
 	burst := func() *Job {
@@ -219,7 +219,7 @@
 	assert.Positive(t, w.Jobs["job-1"].Starts, "what is left they may have")
 }
 
-func TestAHugeArrayGoesToAllPartsAndFillersAreNotMovedAbout(t *testing.T) {
+func TestAHugeArrayGoesToAllPartsAndBackfillIsNotMovedAbout(t *testing.T) {
 	w := New(67, guests(Settings()))
 	t.Cleanup(func() { assert.Empty(t, w.Referee.Broken, "rules") })
 	w.Run(3 * time.Second)
