--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -189,7 +189,7 @@
 	require.NoError(t, err)
 	for machines, want := range map[float64]string{
 		0: "", 500: "",
-		900: "900 machines report 300 times a second; a controller with 0.1 of a core takes about 200: one that is left alone",
+		900:  "900 machines report 300 times a second; a controller with 0.1 of a core takes about 200: one that is left alone",
 		4000: "4000 machines report 1333 times a second; a controller with 0.1 of a core takes about 200, 2 of them 400: more controllers",
 	} {
 		o := DefaultOperator()
