--- a/internal/fake/consolidation_test.go
+++ b/internal/fake/consolidation_test.go
@@ -93,42 +93,37 @@
 	assert.LessOrEqual(t, rentedOrdinary(w, ""), 3, "dear machines while cheap ones are to be had")
 }
 
-func TestReplicasThatKeepComingFindRoom(t *testing.T) {
-	w := cardDay(t, 923, 60*time.Second, 100)
-	submit := func(i int) *Job { return w.Submit(liveService(fmt.Sprintf("job-%03d", i), 8), 0) }
-	for i := range 30 { // one service every four seconds
-		submit(i)
-		w.Run(4 * time.Second)
-	}
-	w.Run(30 * time.Second)
+// lateOnes has users submit so many jobs, one after each pause, and counts those of which
+// some tasks do not run when so many more have come.
+func lateOnes(w *World, submit func(i int) *Job, jobs, tolerated int, pause time.Duration) int {
 	var coming []*Job
 	late := 0
-	for i := 30; i < 60; i++ {
+	for i := range jobs {
 		coming = append(coming, submit(i))
-		w.Run(4 * time.Second)
-		if n := len(coming) - 3; n >= 0 && runningTasks(w, coming[n].Spec.ID) < 8 {
+		w.Run(pause)
+		if n := i + 1 - tolerated; n >= 0 && runningTasks(w, coming[n].Spec.ID) < coming[n].Spec.Tasks {
 			late++
 		}
 	}
+	return late
+}
+
+func TestReplicasThatKeepComingFindRoom(t *testing.T) {
+	w := cardDay(t, 923, 60*time.Second, 100)
+	const pause = 4 * time.Second
+	submit := func(i int) *Job { return w.Submit(liveService(fmt.Sprintf("job-%03d", i), 8), 0) }
+	lateOnes(w, submit, 30, 30, pause)
+	w.Run(30 * time.Second)
+	late := lateOnes(w, func(i int) *Job { return submit(30 + i) }, 30, 3, pause)
 	assert.LessOrEqual(t, late, 12, "services that came while machines for the last ones booted and had no room after 12 s")
 }
 
 func TestArraysThatKeepComingFindCheapRoom(t *testing.T) {
 	w := cardDay(t, 924, 60*time.Second, 400)
+	const pause = 2 * time.Second
 	submit := func(i int) *Job { return w.Submit(sweep(fmt.Sprintf("job-%03d", i), 16, 600), 600*time.Second) }
-	for i := range 50 { // one array every two seconds
-		submit(i)
-		w.Run(2 * time.Second)
-	}
-	var coming []*Job
-	late := 0
-	for i := 50; i < 110; i++ {
-		coming = append(coming, submit(i))
-		w.Run(2 * time.Second)
-		if n := len(coming) - 8; n >= 0 && runningTasks(w, coming[n].Spec.ID) < 16 {
-			late++
-		}
-	}
+	lateOnes(w, submit, 50, 50, pause)
+	late := lateOnes(w, func(i int) *Job { return submit(50 + i) }, 60, 8, pause)
 	assert.LessOrEqual(t, late, 20, "arrays of 53 that came while machines for the last ones booted and had no room after 16 s")
 	assert.Zero(t, rentedOrdinary(w, ""), "for growth of what spot machines can do, no dear ones")
 }
