--- a/internal/fake/consolidation_test.go
+++ b/internal/fake/consolidation_test.go
@@ -9,14 +9,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// running counts a job's tasks that run.
-func runningTasks(w *World, id string) (n int) {
-	for _, k := range w.On(id) {
-		n += k
-	}
-	return n
-}
-
 // rentedOrdinary counts the ordinary machines that are rented.
 func rentedOrdinary(w *World, zone string) int {
 	return w.machines(func(k *Worker) bool { return !k.gone && !k.spot && (zone == "" || k.zone == zone) })
--- a/internal/fake/story_test.go
+++ b/internal/fake/story_test.go
@@ -64,14 +64,17 @@
 	}
 }
 
-func started(w *World, id string, n int) func() bool {
-	return func() bool {
-		sum := 0
-		for _, k := range w.On(id) {
-			sum += k
-		}
-		return sum >= n
+// runningTasks counts a job's tasks that are on machines.
+func runningTasks(w *World, id string) (n int) {
+	for _, k := range w.On(id) {
+		n += k
 	}
+	return n
+}
+
+// started says whether at least n of a job's tasks are on machines.
+func started(w *World, id string, n int) func() bool {
+	return func() bool { return runningTasks(w, id) >= n }
 }
 
 func TestAnOrdinaryJobRunsAndItsMachinesGoBack(t *testing.T) {
