review: a repeated launch of a forgotten attempt runs a task twice

Cause: a worker is sent the command to forget an attempt as soon as no launch of it is unanswered. The token under which the attempt was launched is still valid at the worker then. When the owner's process ends, and the launch, which had been carried out and answered, arrives once more before the next owner has shown its token, the worker starts the attempt again while a later one runs on another machine.

Nothing is fixed.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs the case; see claim.txt. Exit status 1: the rule was broken, 0: it held, 2: the case could not
+# run. TROUBLE=0 leaves the disruption out.
+set -u
+cd "$(dirname "$0")/../.."
+exec target/review/standin repeat review/1/record.txt
