review: a cancellation is missed after controllers were restarted

Cause: a controller that starts receives gossip that echoes a number of its earlier process. Numbers are derived from random epochs, so the old one is the greater in half of the cases; it is taken for a receipt, and cancellations are left out of the gossip to that peer. The peer relies on them: it goes on answering its workers through an outage of the state service.

Added: case 1 with its claim and its run, proxies between the controllers, and the loss of single answers by the stand-in of the state service.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,5 @@
 # run. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-exec target/review/standin repeat review/1/record.txt
+[ -x target/review/standin ] || { echo "target/review/standin is missing: run review/build.sh" >&2; exit 2; }
+exec target/review/standin cancel review/1/record.txt
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -21,7 +21,6 @@
 	rentals  map[string][]string
 	next     int
 	calls    bucket
-	down     bool
 	bootTime func() time.Duration
 	capacity map[machineKind]int // machines that the cloud has; kinds that are missing are not limited
 }
@@ -87,10 +86,6 @@
 }
 
 func (c *cloud) execute(r *http.Request, body []byte) statusReply {
-	// The burst is worth two seconds, but the rate is that of one.
-	if c.down {
-		return statusReply{503, map[string]string{"error": "trouble"}}
-	}
 	if !c.calls.take(1) {
 		return statusReply{429, map[string]string{"error": "too many requests"}}
 	}
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -58,14 +58,9 @@
 	images      map[string]bool
 	changed     chan struct{}
 	node        int // the controller to which the worker reports
-	hungUntil   time.Time
-	mutedUntil  time.Time // its reports reach no controller until then
 	listener    net.Listener
 	lastCommand map[string][]byte // body of the newest direct call with a launch, by task
 	cleared     []attemptKey
-
-	// onOrders is called with each direct call, before it is carried out.
-	onOrders func(m *machine, body []byte)
 }
 
 func newMachine(l *lab, name, typeName, zone string, spot bool) *machine {
@@ -127,7 +122,7 @@
 			m.mu.Unlock()
 			return
 		}
-		if time.Since(m.leaseFrom) > m.lab.site.lease && time.Now().After(m.hungUntil) {
+		if time.Since(m.leaseFrom) > m.lab.site.lease {
 			m.lab.record("%s: lease of incarnation %d expired, %d tasks killed", m.name, m.incarnation, len(m.tasks))
 			m.killAll("lease expired")
 			m.incarnation++
@@ -174,24 +169,14 @@
 func (m *machine) report() {
 	client := &http.Client{Timeout: 4 * time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	for {
-		for time.Now().Before(m.hungUntil) {
-			time.Sleep(20 * time.Millisecond)
-		}
 		m.mu.Lock()
 		if m.removed {
 			m.mu.Unlock()
 			return
 		}
 		sent, incarnation, body := time.Now(), m.incarnation, m.status()
-		muted := time.Now().Before(m.mutedUntil)
 		m.mu.Unlock()
-		wait := time.Second
-		if muted {
-			time.Sleep(time.Second)
-			m.node = (m.node + 1) % len(m.lab.nodes)
-		} else {
-			wait = m.sendReport(client, sent, incarnation, body)
-		}
+		wait := m.sendReport(client, sent, incarnation, body)
 		timer := time.NewTimer(wait)
 		if wait > time.Second {
 			time.Sleep(500*time.Millisecond - min(time.Since(sent), 500*time.Millisecond))
@@ -216,9 +201,6 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	for time.Now().Before(m.hungUntil) {
-		time.Sleep(20 * time.Millisecond)
-	}
 	if err != nil || time.Since(sent) > 4*time.Second {
 		nextNode()
 		return time.Second
@@ -263,19 +245,11 @@
 	if err != nil {
 		return
 	}
-	for time.Now().Before(m.hungUntil) {
-		time.Sleep(20 * time.Millisecond)
-	}
-	if r.URL.Path == "/orders" && m.onOrders != nil {
-		m.onOrders(m, body)
-	}
-	if m.lab.lateOrders != nil && r.URL.Path == "/orders" {
-		if delay := m.lab.lateOrders(); delay > 0 {
-			time.Sleep(delay)
-			m.direct(r.URL.Path, body)
-			<-r.Context().Done()
-			return
-		}
+	if delay := m.lab.commandDelay(); delay > 0 && r.URL.Path == "/orders" {
+		time.Sleep(delay)
+		m.direct(r.URL.Path, body)
+		<-r.Context().Done() // no answer
+		return
 	}
 	status, text := m.direct(r.URL.Path, body)
 	w.Header().Set("Content-Type", "application/json")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,11 +34,11 @@
 	nodes      []*node
 	checker    *checker
 	begin      time.Time
-	lateOrders func() time.Duration // for how long a direct call is delayed that then gets no answer
 
 	mu     sync.Mutex
 	specs  map[string]*jobSpec
 	output *os.File
+	held   bool // direct calls are held up and get no answer
 }
 
 // theLab is the deployment of this run.
@@ -132,13 +132,25 @@
 	return l
 }
 
-// freeAddr returns a loopback address that nothing listens on. Its port is below those that the
-// system gives to outgoing connections, so that it stays free while a controller is down.
+// loopback is the address of this run's controllers and proxies, one of the loopback range that no
+// other run is likely to use.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
+// givenAddrs are the addresses that freeAddr has returned.
+var givenAddrs = map[string]bool{}
+
+// freeAddr returns an address that nothing listens on and that it has not returned before. Its port
+// is below those that the system gives to outgoing connections, so that it stays free while a
+// controller is down.
 func freeAddr() string {
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		addr := fmt.Sprintf("%s:%d", loopback, 12000+rand.IntN(18000))
+		if givenAddrs[addr] {
+			continue
+		}
 		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
+			givenAddrs[addr] = true
 			return addr
 		}
 	}
@@ -190,6 +202,23 @@
 	}
 }
 
+// holdCommands lets direct calls be held up from now on, or not any more.
+func (l *lab) holdCommands(held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = held
+}
+
+// commandDelay returns for how long a direct call is held up, 0 if it is not.
+func (l *lab) commandDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held {
+		return 0
+	}
+	return 2*time.Second + time.Duration(rand.IntN(14000))*time.Millisecond
+}
+
 func (l *lab) addSpec(spec *jobSpec) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,11 +26,10 @@
 	stateLink *proxy   // the controller reaches the state service through it
 	peerLinks []*proxy // by index of the other controller, which this one reaches through it
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool // SIGSTOP was sent
-	ended   bool // it was killed by the scenario
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	ended  bool // it was killed by the scenario
 }
 
 func (n *node) workerAddr() string { return n.workers.addr() }
@@ -82,8 +82,9 @@
 	}
 	n.lab.record("%s starts, process %d", n.cfg.label, cmd.Process.Pid)
 	exited := make(chan struct{})
+	go n.openPeerAccess(exited)
 	n.mu.Lock()
-	n.cmd, n.exited, n.stopped, n.ended = cmd, exited, false, false
+	n.cmd, n.exited, n.ended = cmd, exited, false
 	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -109,9 +110,37 @@
 	exited := n.exited
 	n.mu.Unlock()
 	<-exited
+	n.setPeerAccess(refuse)
 	n.lab.record("%s is killed", n.cfg.label)
 }
 
+// openPeerAccess lets the other controllers connect once the process listens.
+func (n *node) openPeerAccess(exited chan struct{}) {
+	for {
+		conn, err := net.DialTimeout("tcp", n.apiAddr, time.Second)
+		if err == nil {
+			conn.Close()
+			n.setPeerAccess(pass)
+			return
+		}
+		select {
+		case <-exited:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// setPeerAccess lets the other controllers' connections to this one be refused, as they are while
+// its process is down, or accepted.
+func (n *node) setPeerAccess(mode proxyMode) {
+	for _, other := range n.lab.nodes {
+		if other != n {
+			other.peerLinks[n.index].set(mode)
+		}
+	}
+}
+
 // restart kills the process and starts it again after the delay.
 func (n *node) restart(delay time.Duration) {
 	n.kill()
@@ -119,21 +148,6 @@
 	n.start()
 }
 
-// freeze stops the process for a while; its clocks run on.
-func (n *node) freeze(d time.Duration) {
-	n.mu.Lock()
-	process, ended := n.cmd.Process, n.ended
-	n.mu.Unlock()
-	if ended {
-		return
-	}
-	n.lab.record("%s stands still for %v", n.cfg.label, d)
-	_ = process.Signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	_ = process.Signal(syscall.SIGCONT)
-	n.lab.record("%s goes on", n.cfg.label)
-}
-
 // healthy reports whether the health check of the controller succeeds.
 func (n *node) healthy() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -11,40 +11,54 @@
 
 const (
 	pass   proxyMode = iota
-	hold             // bytes are held back and delivered in order afterwards
-	refuse           // new connections are closed at once, the open ones are reset
+	refuse           // new connections are refused, the open ones are reset
 )
 
 // proxy forwards connections to an address.
 type proxy struct {
 	mu       sync.Mutex
-	changed  *sync.Cond
 	mode     proxyMode
-	delay    time.Duration
 	target   string
-	listener net.Listener
+	address  string
+	listener net.Listener // nil while connections are refused
+	seen     func([]byte) // called with the bytes that pass to the target, if set
 	conns    map[net.Conn]bool
 }
 
 func newProxy(target string) *proxy {
-	p := &proxy{target: target, listener: listenLoopback(), conns: map[net.Conn]bool{}}
-	p.changed = sync.NewCond(&p.mu)
-	go p.accept()
+	p := &proxy{target: target, address: freeAddr(), conns: map[net.Conn]bool{}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listen()
 	return p
 }
 
-func (p *proxy) addr() string { return p.listener.Addr().String() }
+// listen opens the listener. The proxy is locked.
+func (p *proxy) listen() {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		giveUp("%s: %v", p.address, err)
+	}
+	p.listener = listener
+	go p.accept(listener)
+}
+
+func (p *proxy) addr() string { return p.address }
 
 func (p *proxy) set(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
-	if mode == refuse {
+	if mode != refuse && p.listener == nil {
+		p.listen()
+	}
+	if mode == refuse && p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
 		for conn := range p.conns {
 			reset(conn)
 		}
 	}
-	p.changed.Broadcast()
 }
 
 func reset(conn net.Conn) {
@@ -54,9 +68,9 @@
 	conn.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -64,16 +78,6 @@
 	}
 }
 
-// waitWhileHeld returns when bytes may pass. It reports false if the connection is to be reset.
-func (p *proxy) waitWhileHeld() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for p.mode == hold {
-		p.changed.Wait()
-	}
-	return p.mode == pass
-}
-
 func (p *proxy) forward(conn net.Conn) {
 	p.mu.Lock()
 	p.conns[conn] = true
@@ -84,10 +88,6 @@
 		p.mu.Unlock()
 		conn.Close()
 	}()
-	if !p.waitWhileHeld() {
-		reset(conn)
-		return
-	}
 	out, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		reset(conn)
@@ -103,16 +103,13 @@
 		p.mu.Unlock()
 	}()
 	ended := make(chan struct{}, 2)
-	pipe := func(from, to net.Conn) {
+	pipe := func(from, to net.Conn, seen func([]byte)) {
 		buffer := make([]byte, 64<<10)
 		for {
 			n, err := from.Read(buffer)
 			if n > 0 {
-				if !p.waitWhileHeld() {
-					break
-				}
-				if p.delay > 0 {
-					time.Sleep(p.delay)
+				if seen != nil {
+					seen(buffer[:n])
 				}
 				if _, err := to.Write(buffer[:n]); err != nil {
 					break
@@ -122,11 +119,10 @@
 				break
 			}
 		}
-		p.waitWhileHeld()
 		ended <- struct{}{}
 	}
-	go pipe(conn, out)
-	go pipe(out, conn)
+	go pipe(conn, out, p.seen)
+	go pipe(out, conn, nil)
 	<-ended
 }
 
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -99,11 +99,11 @@
 	}
 }
 
-// prairieformGrown is the deployment of the page "The deployments have grown", with the same
-// settings as prairieform.
-func prairieformGrown() *site {
+// prairieformOps is the deployment of the page "What we have met since", with the settings of
+// prairieform: "The deployment is as before".
+func prairieformOps() *site {
 	s := prairieform()
-	s.name = "prairieform-yqr-grown"
+	s.name = "prairieform-yqr-ops"
 	return s
 }
 
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -69,12 +69,9 @@
 	site     *site
 	refused  map[int]bool // controllers whose requests get 503
 
-	// late, if set, returns for how long a transaction is delayed that then gets no answer; with
-	// atOnce it is carried out at once. 0: it is answered.
-	late func(node int) (delay time.Duration, atOnce bool)
-
-	// slow, if set, returns for how long a request waits before it is carried out.
-	slow func(node int, r *http.Request, body []byte) time.Duration
+	// loseAnswer, if set, reports whether the answer to a request that was carried out is lost. It is
+	// called before the request is carried out, without the lock.
+	loseAnswer func(node int, r *http.Request, body []byte) bool
 }
 
 func newStateService(s *site) *stateService {
@@ -166,23 +163,7 @@
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
-	if st.slow != nil {
-		time.Sleep(st.slow(node, r, body))
-	}
-	if st.late != nil && r.URL.Path == "/commit" {
-		if delay, atOnce := st.late(node); delay > 0 {
-			if !atOnce {
-				time.Sleep(delay)
-			}
-			st.mu.Lock()
-			if !st.refused[node] {
-				st.commit(body)
-			}
-			st.mu.Unlock()
-			<-r.Context().Done() // no answer
-			return
-		}
-	}
+	lost := st.isAnswerLost(node, r, body)
 	st.mu.Lock()
 	var reply statusReply
 	switch {
@@ -194,11 +175,23 @@
 		reply = st.execute(node, r, body)
 	}
 	st.mu.Unlock()
+	if lost {
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(reply.status)
 	_ = json.NewEncoder(w).Encode(reply.body)
 }
 
+// isAnswerLost reports whether the answer to a request gets lost.
+func (st *stateService) isAnswerLost(node int, r *http.Request, body []byte) bool {
+	st.mu.Lock()
+	loseAnswer := st.loseAnswer
+	st.mu.Unlock()
+	return loseAnswer != nil && loseAnswer(node, r, body)
+}
+
 // execute carries out a request. The service is locked.
 func (st *stateService) execute(node int, r *http.Request, body []byte) statusReply {
 	path := r.URL.Path
--- a/review/standin/tasks.go
+++ b/review/standin/tasks.go
@@ -93,9 +93,6 @@
 
 // finish ends a running attempt.
 func (m *machine) finish(a *attempt, cause string) {
-	for time.Now().Before(m.hungUntil) {
-		time.Sleep(20 * time.Millisecond)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.removed || m.tasks[attemptKey{a.task, a.try}] != a || a.state == "ended" {
