review: the stand-ins pass the linters

Cause: revive checks all folders below the root, also the module of the stand-ins, and two functions of the checker were too complex.

Added: nothing; the functions are split, and unused code is removed.

--- a/review/standin/checker.go
+++ b/review/standin/checker.go
@@ -71,28 +71,39 @@
 	if job.final == "withdrawn" && time.Since(job.finalAt) > c.lab.site.cancel {
 		c.broken("ran_cancelled", "%s starts %.1f s after its user was told that it is cancelled", task, time.Since(job.finalAt).Seconds())
 	}
+	c.checkLimit(spec.Desk)
+	c.checkPlace(task, m, spec)
+}
+
+// checkLimit checks that a team's tasks use no more than its limit.
+func (c *checker) checkLimit(desk string) {
 	used := 0.0
 	for _, list := range c.on {
 		for _, r := range list {
-			if r.spec.Desk == spec.Desk {
+			if r.spec.Desk == desk {
 				used += r.spec.Cores
 			}
 		}
 	}
 	for _, t := range c.lab.site.teams {
-		if t.Name == spec.Desk && t.CpusMax > 0 && used > t.CpusMax+1e-6 {
+		if t.Name == desk && t.CpusMax > 0 && used > t.CpusMax+1e-6 {
 			c.broken("quota", "team %s uses %g of %g", t.Name, used, t.CpusMax)
 		}
 	}
+}
+
+// checkPlace checks that a task's job allows the machine.
+func (c *checker) checkPlace(task string, m *machine, spec *jobSpec) {
 	if spec.Zone != nil && *spec.Zone != m.zone || m.spot && !spec.Spot {
 		c.broken("wrong_place", "%s starts on %s in %s", task, m.name, m.zone)
 	}
-	if spec.OneZone {
-		for other, list := range c.on {
-			for _, r := range list {
-				if jobOf(other) == spec.Ref && r.m.zone != m.zone {
-					c.broken("wrong_place", "%s starts in %s, %s is in %s", task, m.zone, other, r.m.zone)
-				}
+	if !spec.OneZone {
+		return
+	}
+	for other, list := range c.on {
+		for _, r := range list {
+			if jobOf(other) == spec.Ref && r.m.zone != m.zone {
+				c.broken("wrong_place", "%s starts in %s, %s is in %s", task, m.zone, other, r.m.zone)
 			}
 		}
 	}
@@ -168,24 +179,30 @@
 		c.broken("invented", "%s gets %d from %s", id, a.status, n.cfg.label)
 		return
 	}
-	if job.final != "" && asked.After(job.finalAt) && a.state != job.final {
-		c.broken("went_back", "%s is %s at %s after it was %s", id, a.state, n.cfg.label, job.final)
+	c.checkState(id, job, n, asked, a.state)
+}
+
+// checkState checks the state in an answer and notes it.
+func (c *checker) checkState(id string, job *jobView, n *node, asked time.Time, state string) {
+	if job.final != "" && asked.After(job.finalAt) && state != job.final {
+		c.broken("went_back", "%s is %s at %s after it was %s", id, state, n.cfg.label, job.final)
 	}
-	if a.state == "withdrawn" && !job.cancelAsked {
+	if state == "withdrawn" && !job.cancelAsked {
 		c.broken("went_back", "%s is called cancelled, and nobody cancelled it", id)
 	}
 	if job.accepted.IsZero() {
 		job.accepted = time.Now()
 	}
-	if (a.state == "done" || a.state == "withdrawn") && job.final == "" {
-		job.final, job.finalAt = a.state, time.Now()
+	if (state == "done" || state == "withdrawn") && job.final == "" {
+		job.final, job.finalAt = state, time.Now()
 	}
-	if a.state == "done" {
-		for i := range c.lab.spec(id).Tasks {
-			if !c.finished[fmt.Sprintf("%s/%d", id, i)] {
-				c.broken("not_done", "%s is called done before task %d is", id, i)
-				return
-			}
+	if state != "done" {
+		return
+	}
+	for i := range c.lab.spec(id).Tasks {
+		if !c.finished[fmt.Sprintf("%s/%d", id, i)] {
+			c.broken("not_done", "%s is called done before task %d is", id, i)
+			return
 		}
 	}
 }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -21,7 +21,6 @@
 	cfg       nodeConfig
 	apiAddr   string
 	peerAddr  string
-	stateAddr string
 	workers   *proxy   // workers reach the controller through it
 	stateLink *proxy   // the controller reaches the state service through it
 	peerLinks []*proxy // by index of the other controller, which this one reaches through it
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -346,11 +346,3 @@
 	}
 	return statusReply{200, map[string]uint64{"Ledger": st.revision}}
 }
-
-// get returns the value of a key, for the scenarios.
-func (st *stateService) get(key string) (string, uint64) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	e := st.store[key]
-	return string(e.value), e.revision
-}
--- a/review/standin/tasks.go
+++ b/review/standin/tasks.go
@@ -41,7 +41,7 @@
 	case spec == nil:
 		a.state, a.cause = "ended", "no_such"
 		return
-	case !m.hasCapacity(spec):
+	case !m.hasCapacity():
 		a.state, a.cause = "ended", "full"
 		return
 	}
@@ -52,8 +52,8 @@
 	a.timer = time.AfterFunc(fetch, func() { m.fetched(a, spec) })
 }
 
-// hasCapacity reports whether a task fits beside the others. The task itself is among them already.
-func (m *machine) hasCapacity(spec *jobSpec) bool {
+// hasCapacity reports whether the machine can hold its tasks, the newest among them.
+func (m *machine) hasCapacity() bool {
 	cores, memory := 0.0, 0.0
 	for _, a := range m.tasks {
 		if s := m.lab.spec(strings.Split(a.task, "/")[0]); a.state != "ended" && s != nil {
