fake: random epochs, and messages that are queued for a controller's next process

A real process draws a random epoch, and peer.Link queues up to 64 messages, which the receiver's next process gets.

This changes every scenario with a restart.

--- a/internal/fake/node.go
+++ b/internal/fake/node.go
@@ -16,13 +16,14 @@
 	Core         *core.Core // of the newest process
 	simulation   *Simulation
 	zone         string // the zone that the controller is in
-	processEpoch int    // number of the newest process from 1, the core's epoch
+	processEpoch int    // number of the newest process from 1; the core's epoch is random
 	isRunning    bool   // the process runs, though perhaps frozen
 	// frozenUntil is when a frozen process resumes. Its clock advances meanwhile, and its
 	// events are deferred.
 	frozenUntil    time.Duration
 	lastRequestID  uint64                       // ID of the newest request to the node
 	pendingReplies map[uint64]func(core.Effect) // reply callbacks of open requests, by request ID
+	peerLinks      map[string]*peerLink         // the process's connections to other controllers, by name
 
 	budgetShare     core.BudgetShare // this controller's share of the state service's budget
 	nextStateCallAt time.Duration    // when the budget allows the next call to the state service
@@ -38,7 +39,9 @@
 	n.processEpoch++
 	n.Core = core.New(n.coreConfig())
 	n.pendingReplies = map[uint64]func(core.Effect){}
+	n.peerLinks = map[string]*peerLink{}
 	n.startTimer(n.processEpoch)
+	n.simulation.reconnectPeersTo(n)
 }
 
 // coreConfig returns the configuration of the process about to start.
@@ -46,7 +49,7 @@
 	cfg := n.simulation.Cfg
 	cfg.Label = n.Name
 	cfg.Zone = n.zone
-	cfg.Epoch = uint64(n.processEpoch)
+	cfg.Epoch = n.simulation.drawEpoch()
 	cfg.Seed = uint64(len(n.Name))
 	for _, other := range n.simulation.Nodes {
 		if other != n {
@@ -189,33 +192,3 @@
 		reply(effect)
 	}
 }
-
-// peers returns the other nodes, in the order in which the node's core numbers its peers.
-func (n *Node) peers() []*Node {
-	var peers []*Node
-	for _, other := range n.simulation.Nodes {
-		if other != n {
-			peers = append(peers, other)
-		}
-	}
-	return peers
-}
-
-// sendToPeer sends a message to another controller. The message is lost if the receiver
-// restarts before it arrives, because that breaks the connection.
-func (n *Node) sendToPeer(send core.SendToPeer) {
-	to := n.peers()[send.PeerIndex]
-	from := slices.Index(to.peers(), n)
-	if n.simulation.OnPeerMessage != nil {
-		n.simulation.OnPeerMessage(n.Name, to.Name, send.Message)
-	}
-	receiverEpoch := to.processEpoch
-	if n.simulation.ChangePeerMessage != nil {
-		send.Message = n.simulation.ChangePeerMessage(n, send.Message)
-	}
-	n.simulation.sendPacket(n.Name, to.Name, func() {
-		if to.isRunningEpoch(receiverEpoch) {
-			to.handle(core.PeerMessage{PeerIndex: from, Message: send.Message})
-		}
-	})
-}
--- a/internal/fake/simulation.go
+++ b/internal/fake/simulation.go
@@ -57,6 +57,7 @@
 	// OnStepEvent, if set, is called at every phase of every protocol step.
 	OnStepEvent func(StepEvent)
 
+	drawEpoch              func() uint64             // returns the epoch of the next controller process
 	heartbeatCopyFaults    heartbeatCopyFaults       // state of the faults that duplicate heartbeats
 	cancelFinishingUntil   time.Duration             // until then users cancel some jobs as their last task completes
 	eventQueue             eventQueue                // the scheduled events
@@ -65,6 +66,10 @@
 	networkCuts            map[[2]string]*networkCut // interrupted connections, by sender and receiver
 }
 
+// epochRandStream is the stream number of the random generator that draws epochs. Epochs are random
+// numbers, as in a real process, so that a restarted process may have a lower epoch than before.
+const epochRandStream = 3
+
 // DefaultConfig returns the configuration of a small deployment: three zones with one controller
 // each, and two teams.
 func DefaultConfig() core.Config {
@@ -103,6 +108,7 @@
 func NewWithControllers(seed uint64, cfg core.Config, controllers ...string) *Simulation {
 	sim := &Simulation{
 		Rand:        rand.New(rand.NewPCG(seed, 1)),
+		drawEpoch:   rand.New(rand.NewPCG(seed, epochRandStream)).Uint64,
 		Workers:     map[string]*Worker{},
 		Jobs:        map[string]*Job{},
 		Cfg:         cfg,
