leadership: a restarted controller ignores receipts of its former process's gossip

Cause: a controller recorded the highest number of its gossip that a peer acknowledged. After a restart it receives acknowledgements of its former process's gossip, which a peer had queued. The numbers began at the low half of a random epoch, so in half of the restarts the old number was higher than all new ones. The new process then omitted every cancellation from its gossip to that peer, and the peer concluded from the gossip that it had received all of them.

Change: an acknowledgement counts only if this process has sent that number, and is logged at info otherwise. Numbers begin at half of the 64-bit epoch, so that the ranges of two processes do not meet.

Related paths, mended too: * A late message of a peer's former process was taken for a restart of the peer; in an outage the owner then answered no workers until its end. Former epochs are remembered, and such a message is used for the states of jobs only. * A cancellation whose transaction got no reply reached the other controllers only with the next gossip. It is sent at once now, as after a reply.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -22,6 +22,10 @@
 // tryCancel reads the job and cancels it, with the given number of attempts left.
 func (c *Core) tryCancel(e JobCancellation, attempts int) {
 	if state, finished := c.finalJobStates[e.ID]; finished {
+		if attempts < maxCancelAttempts {
+			// The transaction of an earlier attempt may have cancelled the job without a reply.
+			c.broadcastCancellation(e.ID)
+		}
 		c.acceptRequest(e.RequestID, model.JobStatus{ID: e.ID, State: state})
 		return
 	}
@@ -82,6 +86,16 @@
 	c.recentCancellations = append(c.recentCancellations, cancellationNotice{c.now, c.gossipSeq + 1, item})
 }
 
+// broadcastCancellation sends the cancellation of a job to all other controllers, if gossip still
+// repeats it.
+func (c *Core) broadcastCancellation(id string) {
+	for _, notice := range c.recentCancellations {
+		if notice.item.Key == records.JobKey(id) {
+			c.broadcast(Message{Jobs: []Item{notice.item}})
+		}
+	}
+}
+
 // dropOldCancellations drops the cancellations that need not be repeated any more.
 func (c *Core) dropOldCancellations() {
 	c.recentCancellations = slices.DeleteFunc(c.recentCancellations, func(notice cancellationNotice) bool {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,7 +117,7 @@
 		fetchSecondsPerGB:         map[int]float64{},
 		shardWatch:                watchState{prefix: records.ShardPrefix},
 		jobWatch:                  watchState{prefix: records.JobPrefix},
-		gossipSeq:                 cfg.Epoch << 32, // so that no sequence number of an earlier process is used again
+		gossipSeq:                 firstGossipSeq(cfg.Epoch),
 		confirmations:             leadership.NewConfirmations(len(cfg.Peers)),
 	}
 	c.cfg.Tuning = cfg.Tuning.Effective(cfg.HeartbeatInterval, cfg.WorkerLease)
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -38,6 +38,11 @@
 	Isolated bool
 }
 
+// firstGossipSeq returns the number from which a process counts its gossip. Epochs are random numbers
+// of 64 bits, so two processes of a controller use the same sequence number only if their epochs are
+// nearly equal. The highest bit stays free, so that the numbers never overflow.
+func firstGossipSeq(epoch uint64) uint64 { return epoch >> 1 }
+
 // ShardView is a shard's summary by its owner.
 type ShardView struct {
 	Zone               string
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"roadcleat/internal/records"
@@ -12,6 +13,9 @@
 	// foreignHeartbeatMaxAge is how long after its last heartbeat a worker of another
 	// controller's shard counts as reachable from this controller.
 	foreignHeartbeatMaxAge = 6 * time.Second
+	// maxFormerEpochs is how many epochs of a peer's former processes are remembered. Their messages
+	// can be late by minutes, so this covers many restarts in a row.
+	maxFormerEpochs = 32
 )
 
 // Peer is the state that this controller keeps of another controller.
@@ -19,7 +23,8 @@
 	PeerConfig
 	index            int           // position in Config.Peers
 	epoch            uint64        // epoch of the peer's process; a restart changes it
-	lastMessageAt    time.Duration // when its last message was received
+	formerEpochs     []uint64      // newest epochs of its former processes, the oldest first
+	lastMessageAt    time.Duration // when the last message of its current process was received
 	gossip           *Gossip       // newest gossip received; nil before the first
 	gossipReceivedAt time.Duration // when the gossip was received
 }
@@ -45,8 +50,12 @@
 // handlePeerMessage applies a message from another controller.
 func (c *Core) handlePeerMessage(from int, m Message) {
 	peer := c.peers[from]
+	if slices.Contains(peer.formerEpochs, m.Epoch) {
+		c.applyLateMessage(peer, m)
+		return
+	}
 	if peer.epoch != m.Epoch {
-		peer.epoch = m.Epoch
+		peer.beginEpoch(m.Epoch)
 		c.confirmations.RecordRestart(from, c.now)
 	}
 	peer.lastMessageAt = c.now
@@ -70,6 +79,26 @@
 	}
 }
 
+// beginEpoch records that the peer has a new process, and remembers the epoch of the former one.
+func (p *Peer) beginEpoch(epoch uint64) {
+	if p.epoch != 0 {
+		p.formerEpochs = append(p.formerEpochs, p.epoch)
+		p.formerEpochs = p.formerEpochs[max(0, len(p.formerEpochs)-maxFormerEpochs):]
+	}
+	p.epoch = epoch
+}
+
+// applyLateMessage applies a message of a peer's former process that arrives after messages of the
+// current one. The states of jobs in it are facts. Nothing else is used: the message is no sign of
+// life, and it says nothing about what the current process has received.
+func (c *Core) applyLateMessage(peer *Peer, m Message) {
+	c.debug("received a late message of a former process", "peer", peer.Label, "epoch", m.Epoch)
+	c.applyJobItems(m.Jobs)
+	if m.Gossip != nil {
+		c.applyJobItems(m.Gossip.Cancellations)
+	}
+}
+
 func (c *Core) applyJobItems(items []Item) {
 	for _, item := range items {
 		c.applyJobRecord(records.ParseKey(item.Key).Job, item.Value, item.Revision)
@@ -127,12 +156,22 @@
 func (c *Core) applyGossip(peer *Peer, gossip *Gossip) {
 	peer.gossip, peer.gossipReceivedAt = gossip, c.now
 	c.applyJobItems(gossip.Cancellations)
-	c.confirmations.RecordReceipt(peer.index, gossip.Received[c.cfg.Label], c.jobWatch.view, c.now, c.cfg.CancelWithin)
+	c.applyReceipt(peer, gossip.Received[c.cfg.Label])
 	for i := range gossip.Shards {
 		c.applyShardView(peer, &gossip.Shards[i])
 	}
 }
 
+// applyReceipt applies the number of this controller's newest gossip that a peer has received; 0
+// means that it has received none.
+func (c *Core) applyReceipt(peer *Peer, number uint64) {
+	isOwn := c.confirmations.RecordReceipt(peer.index, number, c.jobWatch.view, c.now, c.cfg.CancelWithin)
+	if !isOwn && number > 0 {
+		c.info("ignored the receipt of gossip that a former process of this controller sent",
+			"peer", peer.Label, "received", number, "newest", c.gossipSeq)
+	}
+}
+
 // applyShardView applies the view of a shard that its owner sent in gossip. A higher token than
 // this controller's own shows that its ownership of the shard has ended. A view with a lower
 // token than the last one is from a former owner and is ignored.
--- a/internal/leadership/freshness.go
+++ b/internal/leadership/freshness.go
@@ -31,9 +31,14 @@
 // the peer has received. If that number is N, this message of the peer and its earlier ones
 // together contain every cancellation that the peer had acknowledged to any user or controller by
 // the time message N was sent. This holds however long the network delays packets.
+//
+// Numbers are compared only within one process of this controller. A restarted process still
+// receives messages that contain numbers of its former process, which say nothing about what the
+// peer has received since; see RecordReceipt.
 type Confirmations struct {
-	sentAt map[uint64]time.Duration // send times of this controller's messages, by number
-	peers  []peerConfirmation       // by peer index
+	sentAt                map[uint64]time.Duration // send times of this controller's messages, by number
+	firstSent, newestSent uint64                   // numbers of this process's first and newest message; 0: none was sent
+	peers                 []peerConfirmation       // by peer index
 }
 
 // peerConfirmation is what one peer has confirmed.
@@ -60,21 +65,41 @@
 	return c.peers[peer].epochFirstSeenAt
 }
 
-// RecordSent records when this controller sends the message with the given number.
+// RecordSent records when this controller sends the message with the given number. Numbers increase
+// by one from message to message.
 func (c *Confirmations) RecordSent(number uint64, now time.Duration) {
+	if c.firstSent == 0 {
+		c.firstSent = number
+	}
+	c.newestSent = number
 	c.sentAt[number] = now
 	delete(c.sentAt, number-rememberedMessages)
 }
 
+// isSent reports whether this process has sent the message with the given number.
+func (c *Confirmations) isSent(number uint64) bool {
+	return c.firstSent > 0 && number >= c.firstSent && number <= c.newestSent
+}
+
 // RecordReceipt records that a peer has received this controller's message with the given number. A
 // peer repeats cancellations for slightly longer than cancelWithin, so a message that arrives
 // after a longer gap confirms nothing.
-func (c *Confirmations) RecordReceipt(peer int, number uint64, view PrefixView, now, cancelWithin time.Duration) {
+//
+// It reports whether this process has sent that message. If not, the message was one of a former
+// process, and nothing is recorded. If its number were recorded and were the higher one, this
+// controller would omit all further cancellations from its messages to the peer, and the peer
+// would continue to conclude from these messages that it has received every cancellation (rule
+// ran_cancelled).
+func (c *Confirmations) RecordReceipt(peer int, number uint64, view PrefixView, now, cancelWithin time.Duration) bool {
+	if !c.isSent(number) {
+		return false
+	}
 	p := &c.peers[peer]
 	p.lastReceived = max(p.lastReceived, number)
 	if at, remembered := c.sentAt[number]; remembered && now < max(view.Until, p.confirmedUntil)+cancelWithin {
 		p.confirmedUntil = max(p.confirmedUntil, at)
 	}
+	return true
 }
 
 // LastReceivedBy is the number of the newest of this controller's messages that a peer has received.
--- a/internal/leadership/freshness_test.go
+++ b/internal/leadership/freshness_test.go
@@ -73,6 +73,23 @@
 	assert.Equal(t, at(10), until)
 }
 
+// A restarted controller takes the receipt of its former process's message, with a higher number, for
+// one of its own messages, and so omits cancellations that the peer has not received.
+func TestReceiptOfFormerProcessIsIgnored(t *testing.T) {
+	c := NewConfirmations(1)
+	view := viewUntil(10)
+	c.RecordRestart(0, at(2))
+	assert.False(t, c.RecordReceipt(0, 500, view, at(11), cancelWithin), "nothing has been sent yet")
+	c.RecordSent(100, at(12))
+	c.RecordSent(101, at(13))
+	for _, number := range []uint64{99, 102, 500} {
+		assert.False(t, c.RecordReceipt(0, number, view, at(14), cancelWithin), "message %d was never sent", number)
+	}
+	assert.Zero(t, c.LastReceivedBy(0))
+	assert.True(t, c.RecordReceipt(0, 101, view, at(14), cancelWithin))
+	assert.Equal(t, uint64(101), c.LastReceivedBy(0))
+}
+
 func TestWorkerLeasesExpireBeforeMissedCancellationIsDue(t *testing.T) {
 	for _, lease := range []time.Duration{at(14), at(36)} {
 		window := LeaseRenewalWindow(lease, cancelWithin)
