core: the release of one resource of a grant never raises the other

Cause: a release set the shard's grant to what the shard uses, which includes placements that are not recorded yet. With GPUs idle and cores in demand, the release of the GPUs raised the cores, without a comparison of the sum of the grants with the limit.

Evidence: the log shows the quota's record go from {"a":{"c":4,"g":2},"b":{"c":6}, "c":{"c":2}} to {"a":{"c":6,"g":0},"b":{"c":6},"c":{"c":2}} in one transaction, whose condition held.

Change: a release takes the smaller of grant and need for each resource.

Test: TestReleaseOfOneResourceDoesNotRaiseAnother (4 cores granted, 6 needed, idle GPUs: the release keeps 4). Without the change the function returns the need, 6.

--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -138,7 +138,7 @@
 	if quota.readPending || shard.isBusy() {
 		return false
 	}
-	needed := c.neededGrant(shard, team)
+	needed := quota.reductionTo(shard.name, c.neededGrant(shard, team))
 	if !c.isGrantIdle(shard, team, needed, immediately) {
 		return false
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -63,6 +63,14 @@
 	return grant
 }
 
+// reductionTo returns the shard's grant reduced to the needed resources. Where placements that are
+// not recorded yet need more of a resource than is granted, the grant keeps its amount: a reduction
+// does not compare the sum of the grants with the team's limit, so it must not grow any of them
+// (rule quota).
+func (q *TeamQuota) reductionTo(zone string, needed records.Grant) records.Grant {
+	return needed.Min(q.grants[zone])
+}
+
 // noteReduction records that the shard requests a smaller grant. The transaction may be applied
 // at any later time while the key keeps its revision, even after the service refused it,
 // because a delayed copy may arrive. The same holds for earlier requests, so the smallest one
