fake: repeat the commands of a stopped process, and cancel jobs while an owner is refused

Fault cancel-in-refusal cancels running jobs with lost replies at the start of such a refusal. One job in six of the random scenarios, and one of the walk's small scenario, fails its first attempt in each shard.

--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -47,6 +47,7 @@
 	{"restart-at-once", 0, 100 * millisecond, 2, restartNode},
 	{"restart", 0, 8 * second, 2, restartNode},
 	{"restart-late", 60 * second, 90 * second, 1, restartNode},
+	{"restart-repeats", 1 * second, 8 * second, 2, restartNodeAndRepeatCommands},
 	{"restart-all", 0, 6 * second, 1, restartAllInTurn},
 	{"all-away", 16 * second, 25 * second, 1, restartAllTogether},
 	{"freeze", 0, 60 * second, 1, freezeNode},
@@ -55,6 +56,7 @@
 	{"state-outage-long", 48 * second, 70 * second, 1, stateOutage},
 	{"state-refuses", 2 * second, 60 * second, 1, stateRefusesNode},
 	{"state-refuses-then-outage", 14 * second, 14 * second, 1, stateRefusesThenOutage},
+	{"cancel-in-refusal", 14 * second, 14 * second, 2, cancelDuringRefusal},
 	{"state-cut", 1 * second, 60 * second, 1, cutFromState(false)},
 	{"state-held", 1 * second, 60 * second, 1, cutFromState(true)},
 	{"state-slow", 5 * second, 30 * second, 1, slowState},
@@ -109,6 +111,13 @@
 // kept in memory.
 func restartNode(_ *Simulation, target Target, d time.Duration) { target.Node.Restart(d) }
 
+// restartNodeAndRepeatCommands stops the controller's process and starts it again after d. Workers
+// receive again the commands that the process sent them in direct calls.
+func restartNodeAndRepeatCommands(_ *Simulation, target Target, d time.Duration) {
+	target.Node.Restart(d)
+	target.Node.repeatSentCommands(d)
+}
+
 // restartAllInTurn stops all controllers at once and starts them again one after the other within
 // d.
 func restartAllInTurn(sim *Simulation, _ Target, d time.Duration) {
@@ -151,6 +160,14 @@
 	sim.After(outageAfterRefusal, func() { sim.State.Outage(sim.Cfg.CancelWithin + outageBeyondCancel) })
 }
 
+// cancelDuringRefusal is stateRefusesThenOutage, and users cancel running jobs at its start. The
+// transactions of the first second are executed, and their replies are lost.
+func cancelDuringRefusal(sim *Simulation, target Target, d time.Duration) {
+	stateRefusesThenOutage(sim, target, d)
+	sim.State.replyLoss.start(sim, maxTotalLossDuration, true)
+	sim.CancelRunningJobs(maxCancelledJobs, 0)
+}
+
 // cutFromState returns a fault that cuts a controller from the state service. With holdPackets,
 // packets are delivered when the cut ends; otherwise they are lost.
 func cutFromState(holdPackets bool) injectFunc {
--- a/internal/fake/random_scenario.go
+++ b/internal/fake/random_scenario.go
@@ -52,9 +52,18 @@
 	for at := firstFaultSeconds; at < noiseSeconds; at += d.between(1, maxFaultGapSeconds) {
 		s.Faults = append(s.Faults, d.fault(at, controllers))
 	}
+	d.failures(s.Jobs)
 	return s
 }
 
+// failures draws the jobs whose first attempt fails.
+func (d scenarioGenerator) failures(jobs []SubmittedJob) {
+	for i := range jobs {
+		spec := &jobs[i].Spec
+		jobs[i].FailsFirstAttempt = d.oneIn(6) && !spec.Service && !spec.Gang
+	}
+}
+
 // clusterConfig draws a cluster. Its unusual properties are drawn independently, so they can occur
 // together.
 func (d scenarioGenerator) clusterConfig(hasGPUs bool) ClusterConfig {
--- a/internal/fake/walk.go
+++ b/internal/fake/walk.go
@@ -34,6 +34,7 @@
 	"restart-at-once":           0.08,
 	"restart":                   3,
 	"restart-late":              20,
+	"restart-repeats":           5,
 	"restart-all":               2,
 	"all-away":                  17,
 	"freeze":                    16,
@@ -42,6 +43,7 @@
 	"state-outage-long":         50,
 	"state-refuses":             16,
 	"state-refuses-then-outage": 14,
+	"cancel-in-refusal":         14,
 	"state-slow":                10,
 	"late-writes":               0.3,
 	"answers-lost":              0.3,
@@ -125,7 +127,7 @@
 
 // SmallScenario returns a scenario of few jobs in which every step of the protocols occurs: a shard
 // changes its owner and is handed over again, work waits and moves, a team reaches its limit, a job
-// is cancelled while it runs, and machines are rented and returned.
+// is cancelled while it runs, a task fails and starts again, and machines are rented and returned.
 func SmallScenario() Scenario {
 	job := func(at float64, id, team string, tasks int, cores, run float64, change func(*SubmittedJob)) SubmittedJob {
 		spec := model.JobSpec{
@@ -156,6 +158,7 @@
 			job(20, "job-8", "red", 2, 4, 5, func(j *SubmittedJob) { j.Spec.OneZone = true }),
 			job(24, "job-9", "blue", 2, 2, 20, func(j *SubmittedJob) { j.CancelAfterSeconds = 6 }),
 			job(30, "job-10", "red", 1, 2, 4, nil),
+			job(2, "job-11", "red", 1, 2, 60, func(j *SubmittedJob) { j.Spec.Zone, j.FailsFirstAttempt = "b", true }),
 		},
 	}
 }
