--- /dev/null
+++ b/review/standin-2/cloud.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Cloud is a stand-in for the cloud, by the protocol page.
+type Cloud struct {
+	bed    *Bed
+	mu     sync.Mutex
+	seq    int
+	hires  map[string][]string
+	vms    map[string]*Machine
+	outage bool
+	// capacity is what the cloud still has, by type, zone and kind; a missing entry is 0.
+	capacity map[kind]int
+	bootS    func(typ string) float64
+}
+
+type kind struct {
+	typ, zone string
+	spot      bool
+}
+
+func newCloud(b *Bed) *Cloud {
+	return &Cloud{bed: b, hires: map[string][]string{}, vms: map[string]*Machine{}, capacity: map[kind]int{},
+		bootS: func(typ string) float64 {
+			for _, t := range b.site.Types {
+				if t.Name == typ {
+					return t.BootS * (0.6 + 0.9*rand.Float64())
+				}
+			}
+			return 20
+		}}
+}
+
+// Machine is one rented machine.
+type Machine struct {
+	name, typ, zone     string
+	spot                bool
+	created, upAt, gone time.Time
+	worker              *Worker
+}
+
+// rent creates a machine; the caller holds the lock.
+func (c *Cloud) rent(k kind, boot time.Duration) *Machine {
+	c.seq++
+	m := &Machine{name: fmt.Sprintf("vm-%06d", c.seq), typ: k.typ, zone: k.zone, spot: k.spot, created: time.Now()}
+	m.upAt = m.created.Add(boot)
+	c.vms[m.name] = m
+	m.worker = newWorker(c.bed, m)
+	time.AfterFunc(boot, func() {
+		c.mu.Lock()
+		alive := m.gone.IsZero()
+		c.mu.Unlock()
+		if alive {
+			m.worker.start()
+		}
+	})
+	return m
+}
+
+// Take ends a machine at once.
+func (c *Cloud) Take(m *Machine) {
+	c.mu.Lock()
+	if m.gone.IsZero() {
+		m.gone = time.Now()
+		c.capacity[kind{m.typ, m.zone, m.spot}]++
+	}
+	c.mu.Unlock()
+	m.worker.stop()
+}
+
+// Machines returns the machines that exist, by name.
+func (c *Cloud) Machines() []*Machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Machine
+	for _, m := range c.vms {
+		if m.gone.IsZero() {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name < out[j].name })
+	return out
+}
+
+func (c *Cloud) handler(node string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(60 * time.Millisecond)
+		c.mu.Lock()
+		outage := c.outage
+		c.mu.Unlock()
+		if outage {
+			reply(w, 503, map[string]any{"error": "trouble"})
+			return
+		}
+		switch {
+		case r.URL.Path == "/catalog":
+			c.catalog(w)
+		case r.URL.Path == "/hosts" && r.Method == "POST":
+			c.hire(w, node, body)
+		case r.URL.Path == "/hosts/return":
+			c.giveBack(w, node, body)
+		case r.URL.Path == "/hosts":
+			c.list(w, r)
+		default:
+			reply(w, 400, map[string]any{"error": "malformed"})
+		}
+	})
+}
+
+func (c *Cloud) catalog(w http.ResponseWriter) {
+	var breeds []map[string]any
+	for _, t := range c.bed.site.Types {
+		breeds = append(breeds, map[string]any{"Name": t.Name, "Cores": t.Cores, "Cards": t.GPUs, "MemGb": t.MemGB, "CacheGb": t.CacheGB,
+			"PullGbPerS": t.PullGBPerS, "Rate": t.Rate, "MarketPrice": t.Market, "BootS": t.BootS, "Yards": t.Zones})
+	}
+	reply(w, 200, map[string]any{"Breeds": breeds})
+}
+
+func (c *Cloud) hire(w http.ResponseWriter, node string, body []byte) {
+	var q struct {
+		Hire, Breed, Yard string
+		Loaners           bool
+		Number            int
+	}
+	if json.Unmarshal(body, &q) != nil || q.Number < 1 || q.Number > 50 || q.Hire == "" {
+		reply(w, 400, map[string]any{"error": "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if names, ok := c.hires[q.Hire]; ok {
+		reply(w, 200, map[string]any{"Hosts": names})
+		return
+	}
+	k := kind{q.Breed, q.Yard, q.Loaners}
+	n := min(q.Number, c.capacity[k])
+	if n <= 0 {
+		reply(w, 503, map[string]any{"error": "no capacity"})
+		return
+	}
+	c.capacity[k] -= n
+	var names []string
+	for range n {
+		m := c.rent(k, time.Duration(c.bootS(q.Breed)*float64(time.Second)))
+		names = append(names, m.name)
+	}
+	c.hires[q.Hire] = names
+	c.bed.note("cloud: %s rents %v %s spot=%v for %s", node, names, q.Breed, q.Loaners, q.Yard)
+	reply(w, 200, map[string]any{"Hosts": names})
+}
+
+func (c *Cloud) giveBack(w http.ResponseWriter, node string, body []byte) {
+	var q struct{ Hosts []string }
+	if json.Unmarshal(body, &q) != nil || len(q.Hosts) > 100 {
+		reply(w, 400, map[string]any{"error": "malformed"})
+		return
+	}
+	for _, name := range q.Hosts {
+		c.mu.Lock()
+		m := c.vms[name]
+		c.mu.Unlock()
+		if m != nil {
+			c.Take(m)
+		}
+	}
+	c.bed.note("cloud: %s returns %v", node, q.Hosts)
+	reply(w, 200, map[string]any{})
+}
+
+func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	page, _ := strconv.Atoi(q.Get("Page"))
+	if page <= 0 || page > 500 {
+		page = 500
+	}
+	lag := c.bed.site.ListLagS * (0.5 + 0.5*rand.Float64())
+	at := time.Now().Add(-time.Duration(lag * float64(time.Second)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for n, m := range c.vms {
+		if n > q.Get("After") && m.created.Before(at) && (m.gone.IsZero() || m.gone.After(at)) {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > page
+	if more {
+		names = names[:page]
+	}
+	hosts := []map[string]any{}
+	for _, n := range names {
+		m := c.vms[n]
+		standing := "running"
+		if m.upAt.After(at) {
+			standing = "booting"
+		}
+		hosts = append(hosts, map[string]any{"Ref": n, "Endpoint": m.worker.addr, "Breed": m.typ, "Yard": m.zone, "Loaners": m.spot,
+			"Standing": standing, "HeldS": at.Sub(m.created).Seconds()})
+	}
+	reply(w, 200, map[string]any{"Hosts": hosts, "Truncated": more})
+}
