--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -40,6 +40,7 @@
 	state   *State
 	cloud   *Cloud
 	nodes   []*Node
+	proxies []*proxy
 	checker *Checker
 
 	mu        sync.Mutex
@@ -191,14 +192,23 @@
 	return l
 }
 
+var givenPorts = map[int]bool{}
+
 // freeAddr returns a loopback address that nothing listens on.
 func freeAddr() string {
 	// The ports are below those that the system gives to outgoing connections, so that none of
-	// these takes the port before the controller does.
-	for range 200 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000)))
+	// these takes the port before the controller does. Each is given once, and two runs at a time
+	// mostly use different ones.
+	base := 12000 + os.Getpid()%60*300
+	for range 2000 {
+		port := base + rand.Intn(300)
+		if givenPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			defer l.Close()
+			givenPorts[port] = true
 			return l.Addr().String()
 		}
 	}
@@ -277,24 +287,21 @@
 
 // peerAddr is the address at which one node reaches another: a proxy of the case.
 func (b *Bed) peerAddr(from, to *Node) string {
-	l := listen()
-	p := &proxy{bed: b, from: from.i, to: to}
-	b.mu.Lock()
-	proxies = append(proxies, p)
-	b.mu.Unlock()
-	go p.serve(l)
-	return l.Addr().String()
+	p := &proxy{bed: b, from: from.i, to: to, addr: freeAddr()}
+	p.open()
+	b.proxies = append(b.proxies, p)
+	return p.addr
 }
 
-var proxies []*proxy
-
 // proxy forwards one node's connections to another.
 type proxy struct {
-	bed  *Bed
-	from int
-	to   *Node
-	mu   sync.Mutex
-	hold bool
+	bed      *Bed
+	from     int
+	to       *Node
+	addr     string
+	mu       sync.Mutex
+	hold     bool
+	listener net.Listener
 }
 
 func (p *proxy) held() bool {
@@ -303,6 +310,42 @@
 	return p.hold
 }
 
+func (p *proxy) waitHeld() {
+	for p.held() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (p *proxy) open() {
+	var err error
+	for range 50 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", p.addr); err == nil {
+			p.mu.Lock()
+			p.listener = l
+			p.mu.Unlock()
+			go p.serve(l)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.bed.cannotRun("proxy: %v", err)
+}
+
+// setHold holds back what is sent on open connections, also their end, and lets no connection
+// through while it lasts. A connection attempt that fails in this time never completes later.
+func (p *proxy) setHold(on bool) {
+	p.mu.Lock()
+	was, l := p.hold, p.listener
+	p.hold = on
+	p.mu.Unlock()
+	if on && !was {
+		l.Close()
+	} else if !on && was {
+		p.open()
+	}
+}
+
 func (p *proxy) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -311,9 +354,6 @@
 		}
 		go func() {
 			defer c.Close()
-			for p.held() {
-				time.Sleep(20 * time.Millisecond)
-			}
 			out, err := net.DialTimeout("tcp", p.to.peer, time.Second)
 			if err != nil {
 				return
@@ -329,9 +369,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		for p.held() {
-			time.Sleep(20 * time.Millisecond)
-		}
+		p.waitHeld()
 		if n > 0 {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
@@ -345,19 +383,24 @@
 
 // HoldPeers holds back what a node and the others send each other.
 func (b *Bed) HoldPeers(node int, on bool) {
-	b.mu.Lock()
-	all := proxies
-	b.mu.Unlock()
-	for _, p := range all {
+	for _, p := range b.proxies {
 		if p.from == node || p.to.i == node {
-			p.mu.Lock()
-			p.hold = on
-			p.mu.Unlock()
+			p.setHold(on)
 		}
 	}
 	b.note("peers of paddock-%d held=%v", node, on)
 }
 
+// HoldPair holds back what two nodes send each other.
+func (b *Bed) HoldPair(x, y int, on bool) {
+	for _, p := range b.proxies {
+		if p.from == x && p.to.i == y || p.from == y && p.to.i == x {
+			p.setHold(on)
+		}
+	}
+	b.note("paddock-%d and paddock-%d can't reach each other=%v", x, y, on)
+}
+
 // CutWorkers cuts all workers from a node.
 func (b *Bed) CutWorkers(node int, on bool) {
 	b.mu.Lock()
--- a/review/standin-2/cloud.go
+++ b/review/standin-2/cloud.go
@@ -20,6 +20,8 @@
 	hires  map[string][]string
 	vms    map[string]*Machine
 	outage bool
+	// lateShare is the share of rentals and returns that are carried out late, without an answer.
+	lateShare float64
 	// capacity is what the cloud still has, by type, zone and kind; a missing entry is 0.
 	capacity map[kind]int
 	bootS    func(typ string) float64
@@ -99,7 +101,21 @@
 		time.Sleep(60 * time.Millisecond)
 		c.mu.Lock()
 		outage := c.outage
+		late := r.Method == "POST" && rand.Float64() < c.lateShare
 		c.mu.Unlock()
+		if late {
+			go func() {
+				time.Sleep(time.Duration((2 + 10*rand.Float64()) * float64(time.Second)))
+				c.bed.note("cloud: late request of %s: %s %s", node, r.URL.Path, body)
+				drop := &discard{header: http.Header{}}
+				if r.URL.Path == "/hosts" {
+					c.hire(drop, node, body)
+				} else {
+					c.giveBack(drop, node, body)
+				}
+			}()
+			never(w, r)
+		}
 		if outage {
 			reply(w, 503, map[string]any{"error": "trouble"})
 			return
@@ -212,3 +228,10 @@
 	}
 	reply(w, 200, map[string]any{"Hosts": hosts, "Truncated": more})
 }
+
+// discard is where the answer to a late request goes.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
--- a/review/standin-2/hunt.go
+++ b/review/standin-2/hunt.go
@@ -108,8 +108,26 @@
 		wg.Add(1)
 		go user()
 	}
-	if trouble {
-		for range 2 {
+	if every, err := time.ParseDuration(os.Getenv("FLAP")); err == nil {
+		// One link of one controller is cut and healed in turn.
+		i, link := rand.Intn(len(b.nodes)), rand.Intn(3)
+		b.note("flapping every %v: paddock-%d, link %d", every, i, link)
+		for on := true; time.Now().Before(stop); on = !on {
+			switch link {
+			case 0:
+				b.state.Set(func() { b.state.hold[b.nodes[i].label] = on })
+			case 1:
+				b.HoldPeers(i, on)
+			case 2:
+				b.CutWorkers(i, on)
+			}
+			time.Sleep(every)
+		}
+		b.state.Set(func() { clear(b.state.hold) })
+		b.HoldPeers(i, false)
+		b.CutWorkers(i, false)
+	} else if trouble {
+		for range 3 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -195,7 +213,7 @@
 			w.mu.Unlock()
 		}
 	}
-	switch k := rand.Intn(15); k {
+	switch k := rand.Intn(19); k {
 	case 0, 1:
 		b.Kill(i)
 		time.Sleep(seconds(0.05, 4))
@@ -270,6 +288,56 @@
 				w.lateCmd = seconds(2, 16)
 			}
 		}, seconds(3, 20))
+	case 15:
+		// All controllers end, and come back at different times.
+		var wg sync.WaitGroup
+		for _, n := range b.nodes {
+			if n.i != i {
+				faultMu.Lock()
+				taken := busyNode[n.i]
+				busyNode[n.i] = true
+				faultMu.Unlock()
+				if taken {
+					continue
+				}
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				b.Kill(n.i)
+				time.Sleep(seconds(0.05, 20))
+				b.start(n)
+				if n.i != i {
+					freeNode(n.i)
+				}
+			}()
+		}
+		wg.Wait()
+	case 16:
+		b.note("machines are taken")
+		for range 3 {
+			b.cloud.Take(ms[rand.Intn(len(ms))])
+		}
+	case 17:
+		b.note("late returns and rentals")
+		b.cloud.mu.Lock()
+		b.cloud.lateShare = 0.5
+		b.cloud.mu.Unlock()
+		time.Sleep(seconds(3, 20))
+		b.cloud.mu.Lock()
+		b.cloud.lateShare = 0
+		b.cloud.mu.Unlock()
+	case 18:
+		z := b.site.Zones[rand.Intn(len(b.site.Zones))]
+		b.note("zone %s is cut from paddock-%d", z, i)
+		key := fmt.Sprintf("%s>%d", z, i)
+		b.mu.Lock()
+		b.zoneCut[key] = true
+		b.mu.Unlock()
+		time.Sleep(seconds(3, 30))
+		b.mu.Lock()
+		b.zoneCut[key] = false
+		b.mu.Unlock()
 	case 14:
 		b.HoldPeers(i, true)
 		time.Sleep(seconds(3, 25))
--- a/review/standin-2/state.go
+++ b/review/standin-2/state.go
@@ -30,8 +30,12 @@
 	// lostAnswers is the share of transactions that are executed at once and not answered.
 	lostAnswers float64
 	// lateShare is the share of transactions that get no answer and are executed late.
-	lateShare          float64
-	lateMin, lateMax   time.Duration
+	lateShare        float64
+	lateMin, lateMax time.Duration
+	// slow is how much longer a request takes before it is carried out, after is called when a
+	// request was answered. Both may be nil.
+	slow               func(node string, r *http.Request, body []byte) time.Duration
+	after              func(node string, r *http.Request)
 	onCommit           func(node string, t *txn, ok bool)
 	maxBody            int
 	rejected, tooLarge int
@@ -182,9 +186,15 @@
 			return
 		}
 		s.mu.Lock()
-		latency := s.latency
+		latency, slow, after := s.latency, s.slow, s.after
 		s.mu.Unlock()
+		if slow != nil {
+			latency += slow(node, r, body)
+		}
 		time.Sleep(latency)
+		if after != nil {
+			defer after(node, r)
+		}
 		switch {
 		case r.URL.Path == "/commit":
 			s.commit(w, r, node, body)
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -42,6 +42,7 @@
 	deaf     bool // answers to its reports, and direct commands, are lost
 	hungTill time.Time
 	lateCmd  time.Duration // direct commands are carried out this much later, unanswered
+	faulty   bool          // tasks fail on it, half a second after their start
 	biggest  int           // size of the largest report
 }
 
@@ -59,6 +60,7 @@
 	ready    time.Time // when its image is there
 	left     time.Duration
 	last     time.Time
+	began    time.Time
 }
 
 func (t *wtask) key() string { return fmt.Sprintf("%s#%d", t.sheet, t.try) }
@@ -153,12 +155,18 @@
 					} else if t.job.Fails {
 						t.standing, t.cause = "ended", "error"
 					} else {
-						t.standing, t.last = "running", now
+						t.standing, t.last, t.began = "running", now, now
 						w.bed.checker.started(w, t)
 					}
 					w.poke()
 				}
 			case "running":
+				if w.faulty && now.Sub(t.began) > 500*time.Millisecond {
+					w.leave(t, "error")
+					t.standing, t.cause = "ended", "error"
+					w.poke()
+					continue
+				}
 				d := now.Sub(t.last)
 				t.last = now
 				if d > 200*time.Millisecond {
