review: the stand-ins follow the repository's rules for Go files

Cause: the linters and the word check read every Go file, also those of a module of its own.

The cases are the same.

--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -3,12 +3,9 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand"
 	"net"
 	"net/http"
@@ -17,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -45,7 +41,7 @@
 
 	mu        sync.Mutex
 	jobs      map[string]*JobSpec
-	told      map[string]time.Time
+	answered  map[string]time.Time
 	ticks     int
 	cut       map[int]bool    // nodes that no worker reaches
 	zoneCut   map[string]bool // "zone>node" links that are cut
@@ -72,34 +68,34 @@
 
 // JobSpec is a job as its user describes it, with what its tasks do.
 type JobSpec struct {
-	Ref, Docket, Desk, Form, Urgency string
-	Sheets                           int
-	Cores, Cards, MemGb              float64
-	Build                            string
-	PullGb                           float64
-	Breeds                           []string
-	Yard                             string
-	OneZone, Apart, Loaners          bool
-	ExpectedS                        float64
-	RunS                             float64 // true run time
-	Fails                            bool
-	cancelAsked                      bool
-}
-
-func sheetName(id string, i int) string { return fmt.Sprintf("%s/%d", id, i) }
+	Ref, Class, Desk, Form, Urgency string
+	Tasks                           int
+	Cores, GPUs, MemGb              float64
+	Build                           string
+	PullGb                          float64
+	Types                           []string
+	Zone                            string
+	OneZone, Apart, Spot            bool
+	ExpectedS                       float64
+	RunS                            float64 // true run time
+	Fails                           bool
+	cancelAsked                     bool
+}
+
+func taskName(id string, i int) string { return fmt.Sprintf("%s/%d", id, i) }
 
 func (j *JobSpec) body() []byte {
-	var yard any
-	if j.Yard != "" {
-		yard = j.Yard
+	var zone any
+	if j.Zone != "" {
+		zone = j.Zone
 	}
-	var breeds any
-	if len(j.Breeds) > 0 {
-		breeds = j.Breeds
+	var types any
+	if len(j.Types) > 0 {
+		types = j.Types
 	}
-	b, _ := json.Marshal(map[string]any{"Ref": j.Ref, "Docket": j.Docket, "Desk": j.Desk, "Form": j.Form, "Urgency": j.Urgency,
-		"Sheets": j.Sheets, "Cores": j.Cores, "Cards": j.Cards, "MemGb": j.MemGb, "Build": j.Build, "PullGb": j.PullGb, "Breeds": breeds,
-		"Yard": yard, "OneZone": j.OneZone, "Apart": j.Apart, "Loaners": j.Loaners, "ExpectedS": j.ExpectedS, "BookmarkS": 0.0,
+	b, _ := json.Marshal(map[string]any{"Ref": j.Ref, "Docket": j.Class, "Desk": j.Desk, "Form": j.Form, "Urgency": j.Urgency,
+		"Sheets": j.Tasks, "Cores": j.Cores, "Cards": j.GPUs, "MemGb": j.MemGb, "Build": j.Build, "PullGb": j.PullGb, "Breeds": types,
+		"Yard": zone, "OneZone": j.OneZone, "Apart": j.Apart, "Loaners": j.Spot, "ExpectedS": j.ExpectedS, "BookmarkS": 0.0,
 		"StowS": 0.0, "DueS": nil})
 	return b
 }
@@ -131,15 +127,15 @@
 	return b.jobs[id]
 }
 
-func (b *Bed) toldAt(id string) time.Time {
+func (b *Bed) answeredAt(id string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.told[id]
+	return b.answered[id]
 }
 
-func (b *Bed) setToldAt(id string) {
+func (b *Bed) setAnsweredAt(id string) {
 	b.mu.Lock()
-	b.told[id] = time.Now()
+	b.answered[id] = time.Now()
 	b.mu.Unlock()
 }
 
@@ -229,7 +225,7 @@
 		os.Exit(cannotRun)
 	}
 	b := &Bed{site: site, dir: dir, record: f, began: time.Now(), trouble: trouble, verbose: verbose, program: program,
-		jobs: map[string]*JobSpec{}, told: map[string]time.Time{}, cut: map[int]bool{}, zoneCut: map[string]bool{}, refused: map[string]int{},
+		jobs: map[string]*JobSpec{}, answered: map[string]time.Time{}, cut: map[int]bool{}, zoneCut: map[string]bool{}, refused: map[string]int{},
 		httpUser: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	b.checker = newChecker(b)
 	b.state = newState(b)
@@ -285,122 +281,6 @@
 	}
 }
 
-// peerAddr is the address at which one node reaches another: a proxy of the case.
-func (b *Bed) peerAddr(from, to *Node) string {
-	p := &proxy{bed: b, from: from.i, to: to, addr: freeAddr()}
-	p.open()
-	b.proxies = append(b.proxies, p)
-	return p.addr
-}
-
-// proxy forwards one node's connections to another.
-type proxy struct {
-	bed      *Bed
-	from     int
-	to       *Node
-	addr     string
-	mu       sync.Mutex
-	hold     bool
-	listener net.Listener
-}
-
-func (p *proxy) held() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.hold
-}
-
-func (p *proxy) waitHeld() {
-	for p.held() {
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
-func (p *proxy) open() {
-	var err error
-	for range 50 {
-		var l net.Listener
-		if l, err = net.Listen("tcp", p.addr); err == nil {
-			p.mu.Lock()
-			p.listener = l
-			p.mu.Unlock()
-			go p.serve(l)
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	p.bed.cannotRun("proxy: %v", err)
-}
-
-// setHold holds back what is sent on open connections, also their end, and lets no connection
-// through while it lasts. A connection attempt that fails in this time never completes later.
-func (p *proxy) setHold(on bool) {
-	p.mu.Lock()
-	was, l := p.hold, p.listener
-	p.hold = on
-	p.mu.Unlock()
-	if on && !was {
-		l.Close()
-	} else if !on && was {
-		p.open()
-	}
-}
-
-func (p *proxy) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer c.Close()
-			out, err := net.DialTimeout("tcp", p.to.peer, time.Second)
-			if err != nil {
-				return
-			}
-			defer out.Close()
-			go func() { p.copy(c, out); c.Close() }()
-			p.copy(out, c)
-		}()
-	}
-}
-
-func (p *proxy) copy(dst, src net.Conn) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := src.Read(buf)
-		p.waitHeld()
-		if n > 0 {
-			if _, err := dst.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// HoldPeers holds back what a node and the others send each other.
-func (b *Bed) HoldPeers(node int, on bool) {
-	for _, p := range b.proxies {
-		if p.from == node || p.to.i == node {
-			p.setHold(on)
-		}
-	}
-	b.note("peers of paddock-%d held=%v", node, on)
-}
-
-// HoldPair holds back what two nodes send each other.
-func (b *Bed) HoldPair(x, y int, on bool) {
-	for _, p := range b.proxies {
-		if p.from == x && p.to.i == y || p.from == y && p.to.i == x {
-			p.setHold(on)
-		}
-	}
-	b.note("paddock-%d and paddock-%d can't reach each other=%v", x, y, on)
-}
-
 // CutWorkers cuts all workers from a node.
 func (b *Bed) CutWorkers(node int, on bool) {
 	b.mu.Lock()
@@ -409,236 +289,6 @@
 	b.note("workers cut from paddock-%d=%v", node, on)
 }
 
-func (b *Bed) start(n *Node) {
-	log, err := os.OpenFile(filepath.Join(b.dir, n.label+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		b.cannotRun("%v", err)
-	}
-	cmd := exec.Command(b.program, "--config", n.settings)
-	cmd.Stderr, cmd.Stdout = log, log
-	level := os.Getenv("CASE_LOG")
-	if level == "" {
-		level = "info"
-	}
-	cmd.Env = append(os.Environ(), "LOG_LEVEL="+level)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	exited := make(chan struct{})
-	go func() {
-		// Pdeathsig is sent when the thread that started the process ends, so the thread is kept.
-		lockThread()
-		err := cmd.Start()
-		started <- err
-		if err == nil {
-			cmd.Wait()
-			log.Close()
-			close(exited)
-		}
-	}()
-	if err := <-started; err != nil {
-		b.cannotRun("%v", err)
-	}
-	n.mu.Lock()
-	n.cmd, n.exited, n.stopped = cmd, exited, false
-	n.mu.Unlock()
-	b.note("%s started", n.label)
-	go func() {
-		<-exited
-		n.mu.Lock()
-		own := n.stopped
-		n.mu.Unlock()
-		if !own {
-			b.checker.breach("crash", "%s ended by itself: %v", n.label, cmd.ProcessState)
-		}
-	}()
-}
-
-func (n *Node) signal(s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd != nil && n.cmd.Process != nil {
-		n.cmd.Process.Signal(s)
-	}
-}
-
-func (n *Node) kill() {
-	n.mu.Lock()
-	cmd, exited := n.cmd, n.exited
-	n.stopped = true
-	n.mu.Unlock()
-	if cmd != nil {
-		cmd.Process.Kill()
-		<-exited
-	}
-}
-
-// Kill ends a node without a signal that it could handle.
-func (b *Bed) Kill(i int) {
-	b.nodes[i].kill()
-	b.note("%s killed", b.nodes[i].label)
-}
-
-// Pause stops a node's process, Resume continues it.
-func (b *Bed) Pause(i int) {
-	b.nodes[i].signal(syscall.SIGSTOP)
-	b.note("%s paused", b.nodes[i].label)
-}
-
-// Resume continues a paused node.
-func (b *Bed) Resume(i int) {
-	b.nodes[i].signal(syscall.SIGCONT)
-	b.note("%s resumed", b.nodes[i].label)
-}
-
-// startAll starts all nodes and waits until they are healthy and own their shards.
-func (b *Bed) startAll() {
-	for _, n := range b.nodes {
-		b.start(n)
-	}
-	b.waitHealthy(20 * time.Second)
-}
-
-func (b *Bed) waitHealthy(limit time.Duration) {
-	end := time.Now().Add(limit)
-	for time.Now().Before(end) {
-		ok := 0
-		for _, n := range b.nodes {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			req, _ := http.NewRequestWithContext(ctx, "GET", "http://"+n.api+"/healthz", nil)
-			if resp, err := b.httpUser.Do(req); err == nil {
-				resp.Body.Close()
-				if resp.StatusCode == 200 {
-					ok++
-				}
-			}
-			cancel()
-		}
-		owned := true
-		for _, z := range b.site.Zones {
-			if b.state.Value("part/"+z) == nil {
-				owned = false
-			}
-		}
-		if ok == len(b.nodes) && owned {
-			b.note("all controllers are healthy and own the shards")
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	b.cannotRun("the controllers did not become healthy")
-}
-
-// owner returns the node that owns a zone's shard, or -1.
-func (b *Bed) owner(zone string) int {
-	var v struct{ Owner string }
-	json.Unmarshal(b.state.Value("part/"+zone), &v)
-	for i, n := range b.nodes {
-		if n.label == v.Owner {
-			return i
-		}
-	}
-	return -1
-}
-
-// ask sends a user's request and returns the status, or 0 without an answer, and the standing.
-func (b *Bed) ask(node int, method, path string, body []byte, limit time.Duration) (status int, standing string, done int) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+b.nodes[node].api+path, bytes.NewReader(body))
-	resp, err := b.httpUser.Do(req)
-	if err != nil {
-		return 0, "", 0
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, "", 0
-	}
-	var v struct {
-		Standing string
-		Done     int `json:"done"`
-	}
-	json.Unmarshal(text, &v)
-	return resp.StatusCode, v.Standing, v.Done
-}
-
-// Submit submits a job at a node, and at the next one after a second, for up to 60 s.
-func (b *Bed) Submit(node int, j *JobSpec) bool {
-	b.mu.Lock()
-	b.jobs[j.Ref] = j
-	b.mu.Unlock()
-	end := time.Now().Add(60 * time.Second)
-	for time.Now().Before(end) {
-		sent := time.Now()
-		status, standing, _ := b.ask(node, "POST", "/v2/runs", j.body(), 5*time.Second)
-		b.note("user: submit %s (%d tasks) at paddock-%d: %d %s", j.Ref, j.Sheets, node, status, standing)
-		b.checker.answer(j.Ref, sent, status, standing, true)
-		if status == 200 || status == 201 {
-			return true
-		}
-		if status == 400 || status == 422 {
-			return false
-		}
-		time.Sleep(time.Second)
-		node = (node + 1) % len(b.nodes)
-	}
-	return false
-}
-
-// Poll asks for a job once.
-func (b *Bed) Poll(node int, id string) (status int, standing string, done int) {
-	sent := time.Now()
-	status, standing, done = b.ask(node, "GET", "/v2/runs/"+id, nil, 2*time.Second)
-	if b.verbose || status != 200 {
-		b.note("user: poll %s at paddock-%d: %d %s", id, node, status, standing)
-	}
-	b.checker.answer(id, sent, status, standing, false)
-	return status, standing, done
-}
-
-// Cancel cancels a job, at the given node first, for up to 60 s.
-func (b *Bed) Cancel(node int, id string) (string, bool) {
-	b.mu.Lock()
-	b.jobs[id].cancelAsked = true
-	b.mu.Unlock()
-	end := time.Now().Add(60 * time.Second)
-	for time.Now().Before(end) {
-		sent := time.Now()
-		status, standing, _ := b.ask(node, "POST", "/v2/runs/"+id+"/withdraw", nil, 5*time.Second)
-		b.note("user: withdraw %s at paddock-%d: %d %s", id, node, status, standing)
-		b.checker.answer(id, sent, status, standing, false)
-		if status == 200 {
-			return standing, true
-		}
-		time.Sleep(time.Second)
-		node = (node + 1) % len(b.nodes)
-	}
-	return "", false
-}
-
-// WaitDone polls the jobs until each is done or cancelled, or the time is over. It returns those
-// that are not.
-func (b *Bed) WaitDone(until time.Time, ids ...string) []string {
-	open := ids
-	for node := 0; len(open) > 0; node++ {
-		var left []string
-		for _, id := range open {
-			status, standing, _ := b.Poll(node%len(b.nodes), id)
-			if status != 200 || standing != "done" && standing != "withdrawn" {
-				left = append(left, id)
-			} else {
-				b.note("user: %s is %s", id, standing)
-			}
-		}
-		open = left
-		if len(open) == 0 || time.Now().After(until) {
-			return open
-		}
-		time.Sleep(time.Second)
-	}
-	return open
-}
-
 func (b *Bed) sleepUntil(s float64) {
 	time.Sleep(time.Until(b.began.Add(time.Duration(s * float64(time.Second)))))
 }
--- a/review/standin-2/checker.go
+++ b/review/standin-2/checker.go
@@ -8,22 +8,22 @@
 
 // Checker watches the rules of the protocol page.
 type Checker struct {
-	bed   *Bed
-	mu    sync.Mutex
-	on    map[string]map[*Worker]time.Time // tasks that are on machines
-	done  map[string]bool                  // completed tasks
-	told  map[string]string                // last binding answer to a job's user: accepted, done, withdrawn
-	endAt map[string]time.Time             // when its user was told that the job is cancelled
-	use   map[string]float64               // cores in use by team
-	cards map[string]float64               // GPUs in use by team
+	bed      *Bed
+	mu       sync.Mutex
+	on       map[string]map[*Worker]time.Time // tasks that are on machines
+	done     map[string]bool                  // completed tasks
+	answered map[string]string                // newest answer to a job's user: accepted, done or cancelled
+	endAt    map[string]time.Time             // when its user was answered that the job is cancelled
+	use      map[string]float64               // cores in use by team
+	gpus     map[string]float64               // GPUs in use by team
 	starts,
 	ends int
 	broken []string
 }
 
 func newChecker(b *Bed) *Checker {
-	return &Checker{bed: b, on: map[string]map[*Worker]time.Time{}, done: map[string]bool{}, told: map[string]string{},
-		endAt: map[string]time.Time{}, use: map[string]float64{}, cards: map[string]float64{}}
+	return &Checker{bed: b, on: map[string]map[*Worker]time.Time{}, done: map[string]bool{}, answered: map[string]string{},
+		endAt: map[string]time.Time{}, use: map[string]float64{}, gpus: map[string]float64{}}
 }
 
 // breach records that a rule was broken.
@@ -34,26 +34,26 @@
 	c.mu.Unlock()
 }
 
-func (c *Checker) resultKept(sheet string) bool {
+func (c *Checker) resultKept(task string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.done[sheet]
+	return c.done[task]
 }
 
-func (c *Checker) completed(sheet string) {
+func (c *Checker) completed(task string) {
 	c.mu.Lock()
-	c.done[sheet] = true
+	c.done[task] = true
 	c.mu.Unlock()
 }
 
-func jobOf(sheet string) string {
-	id, _, _ := strings.Cut(sheet, "/")
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, "/")
 	return id
 }
 
 func (c *Checker) launched(w *Worker, t *wtask, from string) {
 	if c.bed.verbose {
-		c.bed.note("machine %s: launch %s try %d by %s", w.m.name, t.sheet, t.try, from)
+		c.bed.note("machine %s: launch %s try %d by %s", w.m.name, t.task, t.try, from)
 	}
 }
 
@@ -62,72 +62,66 @@
 	c.mu.Lock()
 	c.starts++
 	var others []string
-	for o := range c.on[t.sheet] {
+	for o := range c.on[t.task] {
 		if o != w {
 			others = append(others, o.m.name)
 		}
 	}
-	if c.on[t.sheet] == nil {
-		c.on[t.sheet] = map[*Worker]time.Time{}
+	if c.on[t.task] == nil {
+		c.on[t.task] = map[*Worker]time.Time{}
 	}
-	c.on[t.sheet][w] = time.Now()
+	c.on[t.task][w] = time.Now()
 	c.use[t.job.Desk] += t.job.Cores
-	c.cards[t.job.Desk] += t.job.Cards
-	over, cards := c.use[t.job.Desk], c.cards[t.job.Desk]
-	apart := 0
-	if t.job.Apart {
-		for i := range t.job.Sheets {
-			for o := range c.on[sheetName(jobOf(t.sheet), i)] {
-				if o.m.zone == w.m.zone {
-					apart++
-				}
-			}
-		}
-	}
-	if t.job.OneZone {
-		for i := range t.job.Sheets {
-			for o := range c.on[sheetName(jobOf(t.sheet), i)] {
-				if o.m.zone != w.m.zone {
-					others = append(others, o.m.name+" (another zone)")
-				}
-			}
-		}
-	}
-	told, cancelled := c.endAt[jobOf(t.sheet)]
+	c.gpus[t.job.Desk] += t.job.GPUs
+	over, gpus := c.use[t.job.Desk], c.gpus[t.job.Desk]
+	same, elsewhere := c.zonesOf(w, t)
+	at, cancelled := c.endAt[jobOf(t.task)]
 	c.mu.Unlock()
 	if c.bed.verbose {
-		c.bed.note("machine %s: %s try %d starts", w.m.name, t.sheet, t.try)
+		c.bed.note("machine %s: %s try %d starts", w.m.name, t.task, t.try)
 	}
 	if len(others) > 0 {
-		c.breach("ran_twice", "%s starts on %s while it is on %v", t.sheet, w.m.name, others)
-	}
-	if limit := c.bed.site.team(t.job.Desk).CPUsMax; limit > 0 && over > limit+1e-6 {
-		c.breach("quota", "%s uses %g of %g cores as %s starts", t.job.Desk, over, limit, t.sheet)
-	}
-	if limit := c.bed.site.team(t.job.Desk).GPUsMax; limit > 0 && cards > limit+1e-6 {
-		c.breach("quota", "%s uses %g of %g GPUs as %s starts", t.job.Desk, cards, limit, t.sheet)
+		c.breach("ran_twice", "%s starts on %s while it is on %v", t.task, w.m.name, others)
 	}
-	if apart > (t.job.Sheets+1)/2 {
-		c.breach("wrong_place", "%d tasks of %s in %s", apart, t.sheet, w.m.zone)
+	team := c.bed.site.team(t.job.Desk)
+	if team.CPUsMax > 0 && over > team.CPUsMax+1e-6 || team.GPUsMax > 0 && gpus > team.GPUsMax+1e-6 {
+		c.breach("quota", "%s uses %g cores and %g GPUs as %s starts", t.job.Desk, over, gpus, t.task)
 	}
-	if cancelled && time.Since(told) > c.bed.cancelWithin() {
-		c.breach("ran_cancelled", "%s starts %v after its user was told that it is cancelled", t.sheet, time.Since(told))
+	if cancelled && time.Since(at) > c.bed.cancelWithin() {
+		c.breach("ran_cancelled", "%s starts %v after its user got that it is cancelled", t.task, time.Since(at))
 	}
 	j := t.job
-	if j.Yard != "" && j.Yard != w.m.zone || w.m.spot && !j.Loaners {
-		c.breach("wrong_place", "%s starts on %s", t.sheet, w.m.name)
+	if j.Zone != "" && j.Zone != w.m.zone || w.m.spot && !j.Spot || j.Apart && same > (j.Tasks+1)/2 || j.OneZone && elsewhere > 0 {
+		c.breach("wrong_place", "%s starts on %s: %d tasks in its zone, %d elsewhere", t.task, w.m.name, same, elsewhere)
 	}
 }
 
+// zonesOf counts the tasks of a job that are on machines of the worker's zone and elsewhere.
+func (c *Checker) zonesOf(w *Worker, t *wtask) (same, elsewhere int) {
+	if !t.job.Apart && !t.job.OneZone {
+		return 0, 0
+	}
+	for i := range t.job.Tasks {
+		for o := range c.on[taskName(jobOf(t.task), i)] {
+			if o.m.zone == w.m.zone {
+				same++
+			} else {
+				elsewhere++
+			}
+		}
+	}
+	return same, elsewhere
+}
+
 func (c *Checker) ended(w *Worker, t *wtask, why string) {
 	c.mu.Lock()
-	delete(c.on[t.sheet], w)
+	delete(c.on[t.task], w)
 	c.use[t.job.Desk] -= t.job.Cores
-	c.cards[t.job.Desk] -= t.job.Cards
+	c.gpus[t.job.Desk] -= t.job.GPUs
 	c.ends++
 	c.mu.Unlock()
 	if c.bed.verbose {
-		c.bed.note("machine %s: %s try %d ends: %s", w.m.name, t.sheet, t.try, why)
+		c.bed.note("machine %s: %s try %d ends: %s", w.m.name, t.task, t.try, why)
 	}
 }
 
@@ -135,11 +129,11 @@
 func (c *Checker) overdue() {
 	c.mu.Lock()
 	var late []string
-	for sheet, ws := range c.on {
-		told, cancelled := c.endAt[jobOf(sheet)]
-		if cancelled && len(ws) > 0 && time.Since(told) > c.bed.cancelWithin() {
-			late = append(late, sheet)
-			c.endAt[jobOf(sheet)] = time.Now().Add(time.Hour) // report it once
+	for task, ws := range c.on {
+		answered, cancelled := c.endAt[jobOf(task)]
+		if cancelled && len(ws) > 0 && time.Since(answered) > c.bed.cancelWithin() {
+			late = append(late, task)
+			c.endAt[jobOf(task)] = time.Now().Add(time.Hour) // report it once
 		}
 	}
 	c.mu.Unlock()
@@ -149,56 +143,67 @@
 }
 
 // answer notes an answer to a user. sent is when the question was sent.
-func (c *Checker) answer(id string, sent time.Time, status int, standing string, submit bool) {
+func (c *Checker) answer(id string, sent time.Time, status int, state string, submit bool) {
 	c.mu.Lock()
-	told, cancelled := c.told[id], false
-	_, cancelled = c.endAt[id]
-	toldAt := c.bed.toldAt(id)
-	spec := c.bed.job(id)
-	doneTasks := 0
-	if spec != nil {
-		for i := range spec.Sheets {
-			if c.done[sheetName(id, i)] {
-				doneTasks++
-			}
-		}
-	}
-	asked := spec != nil && spec.cancelAsked
-	rank := map[string]int{"": 0, "accepted": 1, "done": 2, "withdrawn": 2}
+	known, after := c.answered[id], sent.After(c.bed.answeredAt(id))
 	now := ""
 	if status == 200 || status == 201 {
 		now = "accepted"
-		if standing == "done" || standing == "withdrawn" {
-			now = standing
+		if state == "done" || state == cancelledState {
+			now = state
 		}
 	}
-	var rule, why string
-	after := sent.After(toldAt)
-	switch {
-	case now != "" && spec == nil:
-		rule, why = "invented", "200 for a job that nobody submitted"
-	case status == 404 && told != "" && after && !submit:
-		rule, why = "forgotten", "accepted job gets 404"
-	case (status == 400 || status == 422) && told != "" && submit:
-		rule, why = "forgotten", "repeated submission is refused"
-	case now == "done" && doneTasks < spec.Sheets:
-		rule, why = "not_done", "called done before all of its tasks are"
-	case now == "withdrawn" && !asked:
-		rule, why = "went_back", "called cancelled although its user did not cancel it"
-	case rank[now] == 1 && rank[told] == 2 && after, rank[now] == 2 && rank[told] == 2 && now != told:
-		rule, why = "went_back", "called "+standing+" after "+told
-	}
-	if rank[now] > rank[told] {
-		c.told[id] = now
-		c.bed.setToldAt(id)
-		if now == "withdrawn" && !cancelled {
+	rule, why := c.judge(id, known, now, status, submit, after)
+	if rank(now) > rank(known) {
+		c.answered[id] = now
+		c.bed.setAnsweredAt(id)
+		if _, cancelled := c.endAt[id]; now == cancelledState && !cancelled {
 			c.endAt[id] = time.Now()
 		}
 	}
 	c.mu.Unlock()
 	if rule != "" {
-		c.breach(rule, "%s: %s (status %d %s)", id, why, status, standing)
+		c.breach(rule, "%s: %s (status %d %s)", id, why, status, state)
+	}
+}
+
+// cancelledState is the state of a cancelled job in answers.
+const cancelledState = "withdrawn"
+
+// rank orders the answers: a later one must not have a lower rank.
+func rank(answer string) int {
+	return map[string]int{"": 0, "accepted": 1, "done": 2, cancelledState: 2}[answer]
+}
+
+// judge returns the rule that an answer breaks, or "". after is whether the question was sent after
+// the newest binding answer.
+func (c *Checker) judge(id, known, now string, status int, submit, after bool) (rule, why string) {
+	spec := c.bed.job(id)
+	switch {
+	case now != "" && spec == nil:
+		return "invented", "200 for a job that nobody submitted"
+	case status == 404 && known != "" && after && !submit:
+		return "forgotten", "accepted job gets 404"
+	case (status == 400 || status == 422) && known != "" && submit:
+		return "forgotten", "repeated submission is refused"
+	case now == "done" && c.countDone(id, spec) < spec.Tasks:
+		return "not_done", "called done before all of its tasks are"
+	case now == cancelledState && !spec.cancelAsked:
+		return "went_back", "called cancelled although its user did not cancel it"
+	case rank(now) == 1 && rank(known) == 2 && after, rank(now) == 2 && rank(known) == 2 && now != known:
+		return "went_back", "called " + now + " after " + known
+	}
+	return "", ""
+}
+
+func (c *Checker) countDone(id string, spec *JobSpec) int {
+	n := 0
+	for i := range spec.Tasks {
+		if c.done[taskName(id, i)] {
+			n++
+		}
 	}
+	return n
 }
 
 // Broken returns the rules that were broken.
--- a/review/standin-2/cloud.go
+++ b/review/standin-2/cloud.go
@@ -14,12 +14,12 @@
 
 // Cloud is a stand-in for the cloud, by the protocol page.
 type Cloud struct {
-	bed    *Bed
-	mu     sync.Mutex
-	seq    int
-	hires  map[string][]string
-	vms    map[string]*Machine
-	outage bool
+	bed     *Bed
+	mu      sync.Mutex
+	seq     int
+	rentals map[string][]string
+	vms     map[string]*Machine
+	outage  bool
 	// lateShare is the share of rentals and returns that are carried out late, without an answer.
 	lateShare float64
 	// capacity is what the cloud still has, by type, zone and kind; a missing entry is 0.
@@ -33,7 +33,7 @@
 }
 
 func newCloud(b *Bed) *Cloud {
-	return &Cloud{bed: b, hires: map[string][]string{}, vms: map[string]*Machine{}, capacity: map[kind]int{},
+	return &Cloud{bed: b, rentals: map[string][]string{}, vms: map[string]*Machine{}, capacity: map[kind]int{},
 		bootS: func(typ string) float64 {
 			for _, t := range b.site.Types {
 				if t.Name == typ {
@@ -46,10 +46,10 @@
 
 // Machine is one rented machine.
 type Machine struct {
-	name, typ, zone     string
-	spot                bool
-	created, upAt, gone time.Time
-	worker              *Worker
+	name, typ, zone        string
+	spot                   bool
+	created, upAt, removed time.Time
+	worker                 *Worker
 }
 
 // rent creates a machine; the caller holds the lock.
@@ -61,7 +61,7 @@
 	m.worker = newWorker(c.bed, m)
 	time.AfterFunc(boot, func() {
 		c.mu.Lock()
-		alive := m.gone.IsZero()
+		alive := m.removed.IsZero()
 		c.mu.Unlock()
 		if alive {
 			m.worker.start()
@@ -73,8 +73,8 @@
 // Take ends a machine at once.
 func (c *Cloud) Take(m *Machine) {
 	c.mu.Lock()
-	if m.gone.IsZero() {
-		m.gone = time.Now()
+	if m.removed.IsZero() {
+		m.removed = time.Now()
 		c.capacity[kind{m.typ, m.zone, m.spot}]++
 	}
 	c.mu.Unlock()
@@ -87,7 +87,7 @@
 	defer c.mu.Unlock()
 	var out []*Machine
 	for _, m := range c.vms {
-		if m.gone.IsZero() {
+		if m.removed.IsZero() {
 			out = append(out, m)
 		}
 	}
@@ -109,7 +109,7 @@
 				c.bed.note("cloud: late request of %s: %s %s", node, r.URL.Path, body)
 				drop := &discard{header: http.Header{}}
 				if r.URL.Path == "/hosts" {
-					c.hire(drop, node, body)
+					c.answerRental(drop, node, body)
 				} else {
 					c.giveBack(drop, node, body)
 				}
@@ -124,7 +124,7 @@
 		case r.URL.Path == "/catalog":
 			c.catalog(w)
 		case r.URL.Path == "/hosts" && r.Method == "POST":
-			c.hire(w, node, body)
+			c.answerRental(w, node, body)
 		case r.URL.Path == "/hosts/return":
 			c.giveBack(w, node, body)
 		case r.URL.Path == "/hosts":
@@ -136,31 +136,33 @@
 }
 
 func (c *Cloud) catalog(w http.ResponseWriter) {
-	var breeds []map[string]any
+	var types []map[string]any
 	for _, t := range c.bed.site.Types {
-		breeds = append(breeds, map[string]any{"Name": t.Name, "Cores": t.Cores, "Cards": t.GPUs, "MemGb": t.MemGB, "CacheGb": t.CacheGB,
+		types = append(types, map[string]any{"Name": t.Name, "Cores": t.Cores, "Cards": t.GPUs, "MemGb": t.MemGB, "CacheGb": t.CacheGB,
 			"PullGbPerS": t.PullGBPerS, "Rate": t.Rate, "MarketPrice": t.Market, "BootS": t.BootS, "Yards": t.Zones})
 	}
-	reply(w, 200, map[string]any{"Breeds": breeds})
+	reply(w, 200, map[string]any{"Breeds": types})
 }
 
-func (c *Cloud) hire(w http.ResponseWriter, node string, body []byte) {
+func (c *Cloud) answerRental(w http.ResponseWriter, node string, body []byte) {
 	var q struct {
-		Hire, Breed, Yard string
-		Loaners           bool
-		Number            int
+		Name   string `json:"Hire"`
+		Type   string `json:"Breed"`
+		Zone   string `json:"Yard"`
+		Spot   bool   `json:"Loaners"`
+		Number int
 	}
-	if json.Unmarshal(body, &q) != nil || q.Number < 1 || q.Number > 50 || q.Hire == "" {
+	if json.Unmarshal(body, &q) != nil || q.Number < 1 || q.Number > 50 || q.Name == "" {
 		reply(w, 400, map[string]any{"error": "malformed"})
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if names, ok := c.hires[q.Hire]; ok {
+	if names, ok := c.rentals[q.Name]; ok {
 		reply(w, 200, map[string]any{"Hosts": names})
 		return
 	}
-	k := kind{q.Breed, q.Yard, q.Loaners}
+	k := kind{q.Type, q.Zone, q.Spot}
 	n := min(q.Number, c.capacity[k])
 	if n <= 0 {
 		reply(w, 503, map[string]any{"error": "no capacity"})
@@ -169,11 +171,11 @@
 	c.capacity[k] -= n
 	var names []string
 	for range n {
-		m := c.rent(k, time.Duration(c.bootS(q.Breed)*float64(time.Second)))
+		m := c.rent(k, time.Duration(c.bootS(q.Type)*float64(time.Second)))
 		names = append(names, m.name)
 	}
-	c.hires[q.Hire] = names
-	c.bed.note("cloud: %s rents %v %s spot=%v for %s", node, names, q.Breed, q.Loaners, q.Yard)
+	c.rentals[q.Name] = names
+	c.bed.note("cloud: %s rents %v %s spot=%v for %s", node, names, q.Type, q.Spot, q.Zone)
 	reply(w, 200, map[string]any{"Hosts": names})
 }
 
@@ -207,7 +209,7 @@
 	defer c.mu.Unlock()
 	var names []string
 	for n, m := range c.vms {
-		if n > q.Get("After") && m.created.Before(at) && (m.gone.IsZero() || m.gone.After(at)) {
+		if n > q.Get("After") && m.created.Before(at) && (m.removed.IsZero() || m.removed.After(at)) {
 			names = append(names, n)
 		}
 	}
@@ -219,12 +221,12 @@
 	hosts := []map[string]any{}
 	for _, n := range names {
 		m := c.vms[n]
-		standing := "running"
+		state := "running"
 		if m.upAt.After(at) {
-			standing = "booting"
+			state = "booting"
 		}
 		hosts = append(hosts, map[string]any{"Ref": n, "Endpoint": m.worker.addr, "Breed": m.typ, "Yard": m.zone, "Loaners": m.spot,
-			"Standing": standing, "HeldS": at.Sub(m.created).Seconds()})
+			"Standing": state, "HeldS": at.Sub(m.created).Seconds()})
 	}
 	reply(w, 200, map[string]any{"Hosts": hosts, "Truncated": more})
 }
--- a/review/standin-2/state.go
+++ b/review/standin-2/state.go
@@ -6,7 +6,6 @@
 	"math/rand"
 	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -42,9 +41,9 @@
 }
 
 type item struct {
-	value json.RawMessage
-	stamp uint64
-	hold  uint64
+	value    json.RawMessage
+	revision uint64
+	hold     uint64
 }
 
 type holdLease struct {
@@ -53,22 +52,22 @@
 }
 
 type change struct {
-	Set   string          `json:"Set,omitempty"`
-	Value json.RawMessage `json:"Value,omitempty"`
-	Stamp uint64          `json:"Stamp"`
-	Drop  string          `json:"Drop,omitempty"`
+	Set      string          `json:"Set,omitempty"`
+	Value    json.RawMessage `json:"Value,omitempty"`
+	Revision uint64          `json:"Stamp"`
+	Drop     string          `json:"Drop,omitempty"`
 }
 
 type guard struct {
-	Key   string
-	Stamp uint64
+	Key      string
+	Revision uint64 `json:"Stamp"`
 }
 
 type mutation struct {
-	Set    string
-	Value  json.RawMessage
-	Tenure uint64
-	Drop   string
+	Set   string
+	Value json.RawMessage
+	Lease uint64 `json:"Tenure"`
+	Drop  string
 }
 
 type txn struct {
@@ -104,20 +103,20 @@
 
 func (s *State) dropLease(id uint64) {
 	delete(s.leases, id)
-	var gone []string
+	var removed []string
 	for k, it := range s.keys {
 		if it.hold == id {
-			gone = append(gone, k)
+			removed = append(removed, k)
 		}
 	}
-	if len(gone) == 0 {
+	if len(removed) == 0 {
 		return
 	}
-	sort.Strings(gone)
+	sort.Strings(removed)
 	s.rev++
-	for _, k := range gone {
+	for _, k := range removed {
 		delete(s.keys, k)
-		s.log = append(s.log, change{Drop: k, Stamp: s.rev})
+		s.log = append(s.log, change{Drop: k, Revision: s.rev})
 		s.bed.note("state: lease %d ended, key %s removed", id, k)
 	}
 	s.ring()
@@ -166,7 +165,7 @@
 }
 
 // never waits until the caller has given up, and answers nothing.
-func never(w http.ResponseWriter, r *http.Request) {
+func never(_ http.ResponseWriter, r *http.Request) {
 	select {
 	case <-r.Context().Done():
 	case <-time.After(30 * time.Second):
@@ -264,11 +263,11 @@
 }
 
 func describe(t *txn) string {
-	var parts []string
+	var fields []string
 	for _, m := range t.Apply {
-		parts = append(parts, m.Set+m.Drop)
+		fields = append(fields, m.Set+m.Drop)
 	}
-	return strings.Join(parts, ",")
+	return strings.Join(fields, ",")
 }
 
 func (s *State) apply(node string, t *txn) (int, any) {
@@ -276,16 +275,16 @@
 	defer s.mu.Unlock()
 	var failed []string
 	for _, g := range t.Guards {
-		stamp := uint64(0)
+		revision := uint64(0)
 		if it := s.keys[g.Key]; it != nil {
-			stamp = it.stamp
+			revision = it.revision
 		}
-		if stamp != g.Stamp {
+		if revision != g.Revision {
 			failed = append(failed, g.Key)
 		}
 	}
 	for _, m := range t.Apply {
-		if m.Set != "" && m.Tenure != 0 && s.leases[m.Tenure] == nil {
+		if m.Set != "" && m.Lease != 0 && s.leases[m.Lease] == nil {
 			return 400, map[string]any{"error": "no such lease"}
 		}
 	}
@@ -301,12 +300,12 @@
 			if m.Drop != "" {
 				if s.keys[m.Drop] != nil {
 					delete(s.keys, m.Drop)
-					s.log = append(s.log, change{Drop: m.Drop, Stamp: s.rev})
+					s.log = append(s.log, change{Drop: m.Drop, Revision: s.rev})
 				}
 				continue
 			}
-			s.keys[m.Set] = &item{value: m.Value, stamp: s.rev, hold: m.Tenure}
-			s.log = append(s.log, change{Set: m.Set, Value: m.Value, Stamp: s.rev})
+			s.keys[m.Set] = &item{value: m.Value, revision: s.rev, hold: m.Lease}
+			s.log = append(s.log, change{Set: m.Set, Value: m.Value, Revision: s.rev})
 			if strings.HasPrefix(m.Set, "part/") {
 				s.bed.note("state: %s claimed by %s: %s, token %d", m.Set, node, m.Value, s.rev)
 			}
@@ -315,130 +314,3 @@
 	}
 	return 200, map[string]any{"Ledger": s.rev}
 }
-
-func (s *State) read(w http.ResponseWriter, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	it := s.keys[key]
-	if it == nil {
-		reply(w, 404, map[string]any{"Ledger": s.rev})
-		return
-	}
-	reply(w, 200, map[string]any{"Key": key, "Value": it.value, "Stamp": it.stamp, "Tenure": it.hold})
-}
-
-func (s *State) list(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	page, _ := strconv.Atoi(q.Get("Page"))
-	if page <= 0 || page > 1000 {
-		page = 1000
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
-	for k := range s.keys {
-		if strings.HasPrefix(k, q.Get("Starts")) && k > q.Get("After") {
-			names = append(names, k)
-		}
-	}
-	sort.Strings(names)
-	rows, size, more := []map[string]any{}, 0, false
-	for _, k := range names {
-		it := s.keys[k]
-		if len(rows) >= page || size+len(it.value) > 500<<10 {
-			more = true
-			break
-		}
-		size += len(it.value) + 100
-		rows = append(rows, map[string]any{"Key": k, "Value": it.value, "Stamp": it.stamp})
-	}
-	reply(w, 200, map[string]any{"Rows": rows, "Truncated": more, "Ledger": s.rev})
-}
-
-func (s *State) follow(w http.ResponseWriter, r *http.Request, node string) {
-	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("After"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("WaitMs"))
-	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		bell := s.bell
-		closed := s.outage || s.refused[node] || s.hold[node]
-		if !closed {
-			if len(s.log) > 0 && len(s.log) >= 10000 && after < s.log[0].Stamp {
-				s.mu.Unlock()
-				reply(w, 410, map[string]any{"error": "too old"})
-				return
-			}
-			news := []change{}
-			for i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > after }); i < len(s.log); i++ {
-				if c := s.log[i]; strings.HasPrefix(c.Set+c.Drop, q.Get("Starts")) {
-					news = append(news, c)
-				}
-			}
-			if len(news) > 0 || !time.Now().Before(end) {
-				rev := s.rev
-				s.mu.Unlock()
-				reply(w, 200, map[string]any{"Ledger": rev, "News": news})
-				return
-			}
-		}
-		s.mu.Unlock()
-		d := time.Until(end)
-		if closed || d > 200*time.Millisecond {
-			d = 200 * time.Millisecond
-		}
-		if d < time.Millisecond {
-			d = time.Millisecond
-		}
-		select {
-		case <-bell:
-			if closed {
-				time.Sleep(10 * time.Millisecond)
-			}
-		case <-time.After(d):
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (s *State) holds(w http.ResponseWriter, r *http.Request, body []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.URL.Path == "/holds" {
-		var q struct{ LifeMs int }
-		if json.Unmarshal(body, &q) != nil || q.LifeMs < 100 || q.LifeMs > 600000 {
-			reply(w, 400, map[string]any{"error": "malformed"})
-			return
-		}
-		s.lastHold++
-		ttl := time.Duration(q.LifeMs) * time.Millisecond
-		s.leases[s.lastHold] = &holdLease{ttl, time.Now().Add(ttl)}
-		reply(w, 200, map[string]any{"Tenure": s.lastHold})
-		return
-	}
-	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/holds/"), "/")
-	id, _ := strconv.ParseUint(parts[0], 10, 64)
-	l := s.leases[id]
-	if l == nil {
-		reply(w, 404, map[string]any{"error": "no such lease"})
-		return
-	}
-	if r.Method == "DELETE" {
-		s.dropLease(id)
-	} else {
-		l.end = time.Now().Add(l.ttl)
-	}
-	reply(w, 200, map[string]any{"Tenure": id})
-}
-
-// Value returns the value of a key, or nil.
-func (s *State) Value(key string) json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if it := s.keys[key]; it != nil {
-		return it.value
-	}
-	return nil
-}
