--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -169,9 +170,17 @@
 	b.note("cannot run: "+format, args...)
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
 	b.end()
+	os.RemoveAll(b.dir)
 	os.Exit(cannotRun)
 }
 
+// mustSubmit submits a job, without which the case couldn't run.
+func (b *Bed) mustSubmit(node int, j *JobSpec) {
+	if !b.Submit(node, j) {
+		b.cannotRun("%s was not accepted", j.Ref)
+	}
+}
+
 // end ends every process that the case started.
 func (b *Bed) end() {
 	for _, n := range b.nodes {
@@ -188,6 +197,9 @@
 	return l
 }
 
+// runDir is the temporary folder of the run.
+var runDir string
+
 var givenPorts = map[int]bool{}
 
 // freeAddr returns a loopback address that nothing listens on.
@@ -224,6 +236,7 @@
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		os.Exit(cannotRun)
 	}
+	runDir = dir
 	b := &Bed{site: site, dir: dir, record: f, began: time.Now(), trouble: trouble, verbose: verbose, program: program,
 		jobs: map[string]*JobSpec{}, answered: map[string]time.Time{}, cut: map[int]bool{}, zoneCut: map[string]bool{}, refused: map[string]int{},
 		httpUser: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
@@ -305,6 +318,9 @@
 			}
 		}
 	}
+	if status == held && slices.Contains(found, "crash") {
+		status = cannotRun // a controller ended by itself, so the case was not as it should be
+	}
 	b.note("result: broken rules %v, checked %v, starts %d, lease ends %d, tasks killed by them %d, refused reports %v", found, rules,
 		b.checker.starts, b.leaseEnds, b.killed, b.refused)
 	b.mu.Lock()
@@ -338,6 +354,9 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	time.AfterFunc(*limit, func() {
 		fmt.Fprintln(os.Stderr, "cannot run: out of time")
+		if runDir != "" {
+			os.RemoveAll(runDir)
+		}
 		os.Exit(cannotRun) // the controllers end with this process, see Pdeathsig
 	})
 	os.Exit(run(*program, *record, trouble, *verbose))
--- a/review/standin-2/case_faulty.go
+++ b/review/standin-2/case_faulty.go
@@ -17,7 +17,7 @@
 	// Long tasks keep a sound machine with free capacity in each of the other zones, whose idle machines are returned.
 	b.sleepUntil(1)
 	for i, zone := range b.site.Zones[1:] {
-		b.Submit(i, &JobSpec{Ref: fmt.Sprintf("job-%06d", 1+i), Class: "clause-refresh", Desk: "drafting-office-a", Form: "array", Urgency: "normal",
+		b.mustSubmit(i, &JobSpec{Ref: fmt.Sprintf("job-%06d", 1+i), Class: "clause-refresh", Desk: "drafting-office-a", Form: "array", Urgency: "normal",
 			Tasks: 1, Cores: 2, MemGb: 36, Build: "img-1", PullGb: 0.5, Zone: zone, Spot: true, ExpectedS: 200, RunS: 200})
 	}
 	accepted := map[string]time.Time{}
@@ -26,10 +26,9 @@
 		b.sleepUntil(4 + 3*float64(i))
 		j := &JobSpec{Ref: fmt.Sprintf("job-%06d", 500+i), Class: "clause-refresh", Desk: "drafting-office-b", Form: "array", Urgency: "normal",
 			Tasks: 2, Cores: 8, MemGb: 36, Build: "img-2", PullGb: 0.5, Spot: true, ExpectedS: 15, RunS: 10}
-		if b.Submit(i%len(b.nodes), j) {
-			left = append(left, j.Ref)
-			accepted[j.Ref] = time.Now()
-		}
+		b.mustSubmit(i%len(b.nodes), j)
+		left = append(left, j.Ref)
+		accepted[j.Ref] = time.Now()
 	}
 	for node := 0; len(left) > 0; node++ {
 		var open []string
--- a/review/standin-2/case_unlearned.go
+++ b/review/standin-2/case_unlearned.go
@@ -33,7 +33,7 @@
 	r := &unlearnedRun{bed: b, owner: 2, other: 1, zone: b.nodes[2].zone, seq: 100}
 	// A long task keeps a machine with free capacity in the zone, whose idle machines are returned.
 	b.sleepUntil(1)
-	b.Submit(r.other, r.job("job-000001", r.zone, 150))
+	b.mustSubmit(r.other, r.job("job-000001", r.zone, 150))
 	b.sleepUntil(2.5)
 	b.state.Set(func() { b.state.slow, b.state.after = r.slow, r.after })
 	if trouble {
@@ -53,6 +53,12 @@
 	if trouble {
 		b.HoldPair(r.owner, r.other, false)
 	}
+	r.mu.Lock()
+	asked, compared := r.asked, r.compared
+	r.mu.Unlock()
+	if trouble && (asked < 2 || compared < 1) {
+		b.cannotRun("the restarted controller made %d listings and %d comparisons", asked, compared)
+	}
 	left := r.wait(90 * time.Second)
 	for _, m := range b.cloud.Machines() {
 		b.note("machine %s (%s in %s): %d tasks", m.name, m.typ, m.zone, m.worker.onMachine())
@@ -74,11 +80,10 @@
 	r.seq++
 	j := r.job(fmt.Sprintf("job-%06d", r.seq), zone, 2)
 	r.mu.Unlock()
-	if r.bed.Submit(r.other, j) {
-		r.mu.Lock()
-		r.ids = append(r.ids, j.Ref)
-		r.mu.Unlock()
-	}
+	r.bed.mustSubmit(r.other, j)
+	r.mu.Lock()
+	r.ids = append(r.ids, j.Ref)
+	r.mu.Unlock()
 }
 
 // slow has, after the restart, the second listing of part/ take 300 ms, and the first transaction
@@ -87,7 +92,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case node != r.bed.nodes[r.owner].label || !r.bed.trouble:
+	case node != r.bed.nodes[r.owner].label:
 	case req.URL.Path == "/store" && req.URL.Query().Get("Starts") == "part/":
 		if r.asked++; r.asked == 2 {
 			r.bed.note("state: a listing of part/ for %s takes 300 ms", node)
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -27,7 +27,7 @@
 	for i := range jobs {
 		j := &JobSpec{Ref: fmt.Sprintf("job-%06d", 412+i), Class: "redline-diff", Desk: "drafting-office-a", Form: "array", Urgency: "normal",
 			Tasks: 640, Cores: 0.01, MemGb: 0.02, Build: "img-1", PullGb: 0.5, Zone: b.site.Zones[0], Spot: true, ExpectedS: 30, RunS: 30}
-		b.Submit(0, j)
+		b.mustSubmit(0, j)
 		ids = append(ids, j.Ref)
 	}
 	open := b.WaitDone(b.began.Add(100*time.Second), ids...)
