core: a shard is listed only where the watch on the jobs continues the listing

Cause: a watch reports only changes after the revision of its start. The start of the watch on the jobs had loaded shards loaded again, but not a shard that was just being loaded. A job that was accepted after that listing and before the start was in neither, and the message about it can be lost.

Change: watchState states the invariant; the watch keeps the revision of its start and a load that of its listing. A shard is listed only while the watch runs, a listing older than its start is repeated in every state of the load, and an abandoned load has no effect any more. Works for any speed of answers, since only revisions are compared. The simulated state service can delay replies too, and users can keep their connections.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -14,6 +14,8 @@
 	core  *Core
 	shard *Shard
 	term  uint64 // the leadership term for which the shard is loaded
+	// revision is the revision of the listing of the assignments; 0 until it has been answered.
+	revision uint64
 
 	assignmentItems      map[string]Item   // assignment records, by job id
 	embeddedJobRecords   map[string][]byte // embedded jobs, by job id
@@ -23,44 +25,96 @@
 	remaining            int               // number of assignments that have not been restored yet
 }
 
-// loadShard lists the shard's assignments and restores them together with their jobs. If a record
-// cannot be decoded the shard is not served, and loading is retried.
+// loadShard lists the shard's assignments and restores them together with their jobs, unless the
+// shard is loaded or being loaded. It waits for the watch on the jobs, which must continue the
+// listing: the invariant of watchState.
 func (c *Core) loadShard(shard *Shard) {
-	shard.loading = true
-	load := &shardLoad{core: c, shard: shard, term: shard.claim.Term(), assignmentItems: map[string]Item{}, embeddedJobRecords: map[string][]byte{}, embeddedJobRevisions: map[string]uint64{}}
+	if shard.loaded || shard.load != nil || !c.jobWatch.listed {
+		return
+	}
+	load := &shardLoad{
+		core: c, shard: shard, term: shard.claim.Term(),
+		assignmentItems:      map[string]Item{},
+		embeddedJobRecords:   map[string][]byte{},
+		embeddedJobRevisions: map[string]uint64{},
+	}
+	shard.load = load
 	call(c, ListKeys{records.AssignmentPrefix(shard.name)}, func(res ListResult) {
-		if !load.isCurrent() {
-			return
+		if load.isCurrent() {
+			load.handleListing(res)
 		}
-		if res.Outcome != OutcomeOK {
-			load.retryAfter(stateServiceRetryDelay)
+	})
+}
+
+// handleListing handles the listing of the shard's assignments. If a record cannot be decoded the
+// shard is not served, and loading is retried.
+func (l *shardLoad) handleListing(res ListResult) {
+	c, shard := l.core, l.shard
+	if res.Outcome != OutcomeOK {
+		l.retryAfter(stateServiceRetryDelay)
+		return
+	}
+	for _, item := range res.Items {
+		// If the record were taken for an empty one, its running tasks would not be
+		// counted in any team's usage and would be started a second time.
+		if _, err := records.DecodeAssignment(item.Value); err != nil {
+			c.warn("cannot decode assignment; shard is not served", "key", item.Key, "shard", shard.name, "token", shard.claim.Token(), "err", err)
+			l.retryAfter(unreadableRecordRetryDelay)
 			return
 		}
-		for _, item := range res.Items {
-			// If the record were taken for an empty one, its running tasks would not be
-			// counted in any team's usage and would be started a second time.
-			if _, err := records.DecodeAssignment(item.Value); err != nil {
-				c.warn("cannot decode assignment; shard is not served", "key", item.Key, "shard", shard.name, "token", shard.claim.Token(), "err", err)
-				load.retryAfter(unreadableRecordRetryDelay)
-				return
-			}
-		}
-		load.restore(res.Items)
-	})
+	}
+	l.revision = res.Revision
+	if c.reloadIfUncovered(shard) {
+		return
+	}
+	l.restore(res.Items)
 }
 
-// isCurrent reports whether the shard is still owned in the term for which it is being loaded.
-func (l *shardLoad) isCurrent() bool { return l.shard.isOwnedInTerm(l.term) }
+// isCurrent reports whether the shard is still owned in the term for which it is being loaded, and
+// the load has not been abandoned.
+func (l *shardLoad) isCurrent() bool { return l.shard.isOwnedInTerm(l.term) && l.shard.load == l }
 
-// retryAfter lets the shard be loaded again after a delay.
+// retryAfter abandons the load after a delay, so that the shard is loaded again.
 func (l *shardLoad) retryAfter(delay time.Duration) {
 	l.core.runAfter(delay, func() {
 		if l.isCurrent() {
-			l.shard.loading = false
+			l.shard.load = nil
 		}
 	})
 }
 
+// reloadUncoveredShards has the shards loaded again whose assignments were listed before the watch on
+// the jobs was started.
+func (c *Core) reloadUncoveredShards() {
+	for _, shard := range c.shards {
+		c.reloadIfUncovered(shard)
+	}
+}
+
+// reloadIfUncovered has the shard loaded again if its assignments were listed before the watch on the
+// jobs was started: jobs that were accepted, moved or cancelled in between are neither in the listing
+// nor reported by the watch. It reports whether that is so. While the watch is about to be started
+// again it changes nothing, because the start calls reloadUncoveredShards.
+func (c *Core) reloadIfUncovered(shard *Shard) bool {
+	if !c.jobWatch.listed {
+		return false
+	}
+	isUncovered := false
+	if shard.loaded && !c.jobWatch.continues(shard.loadRevision) {
+		shard.loaded, shard.unloadedSince = false, c.now
+		isUncovered = true
+	}
+	if load := shard.load; load != nil && load.revision > 0 && !c.jobWatch.continues(load.revision) {
+		shard.load = nil
+		isUncovered = true
+	}
+	if isUncovered {
+		c.info("loading the shard again: the watch on the jobs was started after its listing",
+			"shard", shard.name, "token", shard.claim.Token(), "watchStart", c.jobWatch.startRevision)
+	}
+	return isUncovered
+}
+
 // restore restores the listed assignments. It reads the jobs that are not embedded in them, and those
 // that have changed since.
 func (l *shardLoad) restore(items []Item) {
@@ -124,7 +178,8 @@
 // finish marks the shard as loaded.
 func (l *shardLoad) finish() {
 	c, shard := l.core, l.shard
-	shard.loading, shard.loaded, shard.needsPlan, shard.loadedAt = false, true, true, c.now
+	shard.load, shard.loaded, shard.needsPlan, shard.loadedAt = nil, true, true, c.now
+	shard.loadRevision = l.revision
 	shard.startedEmpty = len(l.assignmentItems) == 0
 	// Reads the assignments of jobs that were accepted after the listing and whose records this
 	// controller received before the shard was loaded.
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -36,9 +36,7 @@
 // maintainOwnedShard hands a shard over or loads it, whichever is due.
 func (c *Core) maintainOwnedShard(shard *Shard) {
 	c.handOverIfNeeded(shard)
-	if !shard.loaded && !shard.loading {
-		c.loadShard(shard)
-	}
+	c.loadShard(shard)
 }
 
 // shouldClaim reports whether this controller should now claim a shard that it does not own.
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -16,8 +16,9 @@
 	claim leadership.Claim
 
 	// Loading of the shard's assignments from the state service by a new owner.
-	loading       bool // a load is in progress
-	loaded        bool // the assignments have been loaded
+	load          *shardLoad // the load in progress, or nil
+	loaded        bool       // the assignments have been loaded
+	loadRevision  uint64     // revision at which the loaded assignments were listed
 	loadedAt      time.Duration
 	unloadedSince time.Duration // since when the assignments have not been loaded, if loaded is false
 	startedEmpty  bool          // the shard had no assignments when it was loaded
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -9,15 +9,34 @@
 
 // watchState is the state of this controller's watch on the keys with a prefix in the state
 // service.
+//
+// A watch reports every change of these keys after the revision at which it was started, and none
+// before it. So a state read from the state service stays current only if the watch continues it:
+//
+// Invariant: whatever this controller keeps of keys under the prefix, or of keys that change only
+// together with them, was current at the revision at which the watch was started or at a later one.
+//
+// The assignments of a shard change together with the jobs: only the shard's owner changes them in
+// any other way. Listings, reads and watches are answered at different speeds and in any order, and
+// messages between controllers may be lost in any number, so neither establishes the invariant:
+//
+//   - A shard's assignments are listed only while the watch on the jobs runs. A listing that is older
+//     than the start of the watch is repeated (loadShard, reloadUncoveredShards).
+//   - When the watch on the jobs is started again, every unfinished job is compared with the state
+//     service (rereadUnfinishedJobs).
 type watchState struct {
-	prefix      string
-	listed      bool   // the keys have been listed, so only changes need to be read
-	callPending bool   // a call has been sent and not been answered
-	revision    uint64 // newest revision that has been read
-	view        leadership.PrefixView
-	nextCallAt  time.Duration
+	prefix        string
+	listed        bool   // the keys have been listed, so only changes need to be read
+	callPending   bool   // a call has been sent and not been answered
+	startRevision uint64 // revision at which the watch was started; 0 before the first start
+	revision      uint64 // newest revision that has been read
+	view          leadership.PrefixView
+	nextCallAt    time.Duration
 }
 
+// continues reports whether the watch reports every change after the given revision.
+func (w *watchState) continues(revision uint64) bool { return w.listed && revision >= w.startRevision }
+
 // watch sends the next call that a watch needs: a listing, or the wait for further changes. The
 // view is complete up to the moment at which the last answered call was sent: a call that is still
 // pending may have missed changes.
@@ -45,18 +64,14 @@
 			watch.nextCallAt = c.now + stateServiceRetryDelay
 			return
 		}
-		watch.listed, watch.revision = true, res.Revision
+		watch.listed, watch.startRevision, watch.revision = true, res.Revision, res.Revision
 		watch.view.Restart(sent)
 		if watch == &c.shardWatch {
 			c.applyShardList(res.Items)
 			return
 		}
 		c.rereadUnfinishedJobs()
-		for _, shard := range c.shards {
-			if shard.loaded {
-				shard.loaded, shard.unloadedSince = false, c.now // its assignments must be listed again
-			}
-		}
+		c.reloadUncoveredShards()
 	})
 }
 
--- a/internal/fake/job.go
+++ b/internal/fake/job.go
@@ -29,6 +29,7 @@
 	StartedAt              time.Duration         // when its first task started
 	LastReplyAt            time.Duration         // when a request about it last got a reply
 	DoneReportedAt         time.Duration         // when its user got the reply that it is done
+	node                   *Node                 // the controller to which its user's connection goes; nil: none is open
 	waitingNeedlesslySince time.Duration         // since when tasks have waited although they could run
 	missingReplicasSince   time.Duration         // since when the service has lacked replicas
 }
--- a/internal/fake/node_calls.go
+++ b/internal/fake/node_calls.go
@@ -148,7 +148,7 @@
 func (x *outgoingCall) callStateWithinBudget(
 	timeout time.Duration, timeoutResult core.Result, exec func(func(core.Result)),
 ) {
-	exec = x.simulation.State.withRequestDelay(x.node.Name, x.call.Operation, exec)
+	exec = x.simulation.State.withDelays(x.node.Name, x.call.Operation, exec)
 	send := func() {
 		x.node.whenRunning(func() {
 			rpc(x.simulation, x.node.Name, stateHost, timeout, timeoutResult, exec, x.deliverResult)
--- a/internal/fake/state_faults.go
+++ b/internal/fake/state_faults.go
@@ -85,20 +85,6 @@
 	s.simulation.After(d, func() { s.TransactionTime = 0 })
 }
 
-// withRequestDelay returns exec, delayed by what RequestDelay returns for the request.
-func (s *StateService) withRequestDelay(
-	node string, op core.Operation, exec func(func(core.Result)),
-) func(func(core.Result)) {
-	if s.RequestDelay == nil {
-		return exec
-	}
-	delay := s.RequestDelay(node, op)
-	if delay == 0 {
-		return exec
-	}
-	return func(reply func(core.Result)) { s.simulation.After(delay, func() { exec(reply) }) }
-}
-
 // OnClaim has f called when a claim of a shard has been executed, before the new owner receives the
 // reply.
 func (sim *Simulation) OnClaim(f func(node, zone string)) {
--- a/internal/fake/state_service.go
+++ b/internal/fake/state_service.go
@@ -38,6 +38,9 @@
 	// RequestDelay, if set, returns the additional delay after which a request arrives. It does not
 	// extend the sender's timeout.
 	RequestDelay func(node string, op core.Operation) time.Duration
+	// ReplyDelay, if set, returns the additional delay between the execution of a request and the reply
+	// to it. It does not extend the sender's timeout.
+	ReplyDelay func(node string, op core.Operation) time.Duration
 	// WatchHistoryLimit, if set, is how many changes are kept for watches. Older changes are
 	// compacted, and a watch that needs them is refused.
 	WatchHistoryLimit int
--- a/internal/fake/user_faults.go
+++ b/internal/fake/user_faults.go
@@ -21,6 +21,7 @@
 	UnknownJobQueries       int // queries of jobs that were never submitted, answered 404
 	RefusedSubmissions      int // invalid submissions that were refused
 
+	keepConnections         bool          // users keep their connections, see nodeFor
 	pollBurstsUntil         time.Duration // end of the period in which users poll in bursts
 	cancelOnAcceptanceShare float64       // share of the jobs accepted in that period that users cancel at once
 }
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -56,6 +56,18 @@
 	return sim.Nodes[0]
 }
 
+// nodeFor returns the controller to which the job's user sends the next request. If users keep their
+// connections it is the one that received the last request, as long as its process runs.
+func (sim *Simulation) nodeFor(job *Job) *Node {
+	if !sim.Users.keepConnections {
+		return sim.randomNode()
+	}
+	if job.node == nil || !job.node.isRunning {
+		job.node = sim.randomNode()
+	}
+	return job.node
+}
+
 // Submit has a user submit a job, retrying until it is accepted or refused, and poll an
 // accepted job until a final state is reported. Each task runs for runTime.
 func (sim *Simulation) Submit(spec model.JobSpec, runTime time.Duration) *Job {
@@ -78,25 +90,29 @@
 	sim.Jobs[job.Spec.ID] = job
 }
 
-// submitUntilAnswered submits a job to random controllers, repeatedly until it is accepted or
-// refused. The user then polls an accepted job.
+// submitUntilAnswered submits a job to the controllers that nodeFor returns, repeatedly until it is
+// accepted or refused. The user then polls an accepted job.
 func (sim *Simulation) submitUntilAnswered(job *Job) {
-	sim.sendSubmissionTo(sim.randomNode(), job, func(status int) {
+	sim.sendSubmissionTo(sim.nodeFor(job), job, func(status int) {
 		switch status {
 		case http.StatusOK, http.StatusCreated:
 			sim.pollUntilFinal(job)
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
 			job.Refused = true
 		default:
+			job.node = nil
 			sim.After(userRetryDelay, func() { sim.submitUntilAnswered(job) })
 		}
 	})
 }
 
-// pollUntilFinal has the job's user query random controllers for the job at regular intervals
-// until its final state is reported.
+// pollUntilFinal has the job's user query the controllers that nodeFor returns for the job at regular
+// intervals until its final state is reported.
 func (sim *Simulation) pollUntilFinal(job *Job) {
-	sim.queryJob(sim.randomNode(), job.Spec.ID, func(int) {
+	sim.queryJob(sim.nodeFor(job), job.Spec.ID, func(status int) {
+		if status == 0 {
+			job.node = nil // the connection has failed
+		}
 		if !job.ReportedFinal() {
 			sim.After(jobPollInterval, func() { sim.pollUntilFinal(job) })
 		}
@@ -125,12 +141,13 @@
 	}, onReply)
 }
 
-// Cancel has the job's user cancel it at random controllers, retrying until the cancellation is
-// confirmed or the job is reported as not found.
+// Cancel has the job's user cancel it at the controllers that nodeFor returns, retrying until the
+// cancellation is confirmed or the job is reported as not found.
 func (sim *Simulation) Cancel(job *Job) {
 	job.CancelRequested = true
-	sim.sendCancellation(sim.randomNode(), job.Spec.ID, func(status int) {
+	sim.sendCancellation(sim.nodeFor(job), job.Spec.ID, func(status int) {
 		if status != http.StatusOK && status != http.StatusNotFound {
+			job.node = nil
 			sim.After(userRetryDelay, func() { sim.Cancel(job) })
 		}
 	})
