core: a load reads the assignments that received tasks after its listing

What callers saw: a service lacked a replica for ever (simulated time only).

Cause: the watch applies a changed job to the shards that are served. When tasks were moved to a shard that was being loaded, after its listing, the end of the load read only assignments that the listing lacked. Where no task of the listed assignment waits, nothing corrects it later.

Evidence: TestReplicaMovedToShardWhileItIsLoadedIsLaunched fails on and on.

Change: the end of a load reads every assignment whose job has changed since the listing and is newer than the assignment. Older moves are in the listing, since a move changes both in one transaction.

Measured: the test passes, and so does the whole of go test. The scenario of a replica about to move is shared with the test of lost replies.

--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -181,16 +181,25 @@
 	shard.load, shard.loaded, shard.needsPlan, shard.loadedAt = nil, true, true, c.now
 	shard.loadRevision = l.revision
 	shard.startedEmpty = len(l.assignmentItems) == 0
-	// Reads the assignments of jobs that were accepted after the listing and whose records this
-	// controller received before the shard was loaded.
 	for _, id := range sortedKeys(c.jobs) {
-		if _, hasTasksHere := c.jobs[id].rangesByZone[shard.name]; hasTasksHere && shard.assignments[id] == nil {
+		if l.hasChangedSinceListing(c.jobs[id]) {
 			c.readAssignment(shard, id)
 		}
 	}
 	c.info("shard loaded", "shard", shard.name, "token", shard.claim.Token(), "assignments", len(shard.assignments))
 }
 
+// hasChangedSinceListing reports whether the shard's assignment of a job may have been created, or
+// may have received tasks from another shard, after the listing and before the shard was loaded. The
+// watch has reported these changes, but they apply only to shards that are loaded.
+func (l *shardLoad) hasChangedSinceListing(job *Job) bool {
+	if _, hasTasksHere := job.rangesByZone[l.shard.name]; !hasTasksHere {
+		return false
+	}
+	assignment := l.shard.assignments[job.id]
+	return assignment == nil || job.revision > l.revision && job.revision > assignment.revision
+}
+
 // restoreAssignment applies the records of an assignment and of its job that were read while the
 // shard was loaded. The assignment of a finished job is kept too, with a job created for it.
 func (c *Core) restoreAssignment(shard *Shard, id string, value []byte, revision uint64, item Item) {
--- a/internal/fake/listing_watch_test.go
+++ b/internal/fake/listing_watch_test.go
@@ -147,3 +147,34 @@
 		assert.True(t, compacted)
 	}
 }
+
+// A replica is moved to a shard while the shard's restarted owner loads it: after the listing of its
+// assignments and before the end of the load. The owner must launch the replica.
+func TestReplicaMovedToShardWhileItIsLoadedIsLaunched(t *testing.T) {
+	sim := newSimulationWithReplicaToMove(t, 143, "a", "b")
+	target := sim.OwnerOf("a")
+	const moveDelay, comparisonDelay = time.Second, 1700 * time.Millisecond
+	var listedAt, movedAt time.Duration
+	sim.OnStepEvent = func(event StepEvent) {
+		switch {
+		case event.Step != MoveTasks || movedAt > 0:
+		case event.Phase == PhaseBefore:
+			sim.cutFromPeers(target, 10*time.Second, false)
+			slowStart{comparison: comparisonDelay}.apply(sim, target, func(string) { listedAt = sim.Now })
+			delayTarget := sim.State.RequestDelay
+			sim.State.RequestDelay = func(name string, op core.Operation) time.Duration {
+				if txn, isTxn := op.(core.CommitTxn); isTxn && isMove(txn.Txn) {
+					return moveDelay
+				}
+				return delayTarget(name, op)
+			}
+			target.Restart(100 * time.Millisecond)
+		case event.Phase == PhaseDuring:
+			movedAt = sim.Now
+		}
+	}
+	require.True(t, sim.RunUntil(2*time.Minute, func() bool { return movedAt > 0 }), "a replica is moved")
+	require.Less(t, listedAt, movedAt, "the shard was listed before")
+	require.NotZero(t, listedAt)
+	assert.True(t, sim.RunUntil(time.Minute, hasRunningTasks(sim, "job-1", 2)), "the owner launches the moved replica")
+}
--- a/internal/fake/starvation_test.go
+++ b/internal/fake/starvation_test.go
@@ -54,44 +54,56 @@
 	assert.False(t, busy.ReportedFinal())
 }
 
-// A transaction moves a replica to another shard of the same owner. It is applied, and its reply is
-// lost. The owner must find the replica in the other shard and launch it.
-func TestReplicaMovedByTransactionWithLostReplyIsLaunched(t *testing.T) {
+// newSimulationWithReplicaToMove returns a simulation of two zones in which a service has a replica on
+// the only machine of each zone. The machine of zone b is lost and can't be replaced, and a larger one
+// is rented in zone a, so the replica of zone b is about to move there.
+func newSimulationWithReplicaToMove(t *testing.T, seed uint64, controllers ...string) *Simulation {
+	t.Helper()
 	cfg := DefaultConfig()
 	cfg.Zones = []string{"a", "b"}
-	sim := NewWithControllers(73, cfg, "a") // one owner of both shards
+	sim := NewWithControllers(seed, cfg, controllers...)
 	t.Cleanup(func() { assert.Empty(t, sim.Checker.Violations, "invariant violations") })
-	for kind := range sim.Cloud.AvailableMachines {
-		sim.Cloud.AvailableMachines[kind] = 0
+	available := sim.Cloud.AvailableMachines
+	for kind := range available {
+		available[kind] = 0
 	}
-	sim.Cloud.AvailableMachines[machineKindKey("small", "a", true)], sim.Cloud.AvailableMachines[machineKindKey("small", "b", true)] = 1, 1
+	smallInA, smallInB, largeInA := machineKindKey("small", "a", true), machineKindKey("small", "b", true), machineKindKey("large", "a", true)
+	available[smallInA], available[smallInB] = 1, 1
 	sim.Run(3 * time.Second)
 	for _, zone := range cfg.Zones { // makes the owner rent the machine of each zone
-		jobSpec := newJobSpec("job-"+zone, "red", 1, 1)
-		jobSpec.Zone = zone
-		requireJobEnds(t, sim, sim.Submit(jobSpec, time.Second), time.Minute)
+		spec := newJobSpec("job-"+zone, "red", 1, 1)
+		spec.Zone = zone
+		requireJobEnds(t, sim, sim.Submit(spec, time.Second), time.Minute)
 	}
-	serviceSpec := newJobSpec("job-1", "red", 2, 3)
-	serviceSpec.Service, serviceSpec.EstimatedRunSeconds = true, 0
-	service := sim.Submit(serviceSpec, time.Hour)
+	spec := newJobSpec("job-1", "red", 2, 3)
+	spec.Service, spec.EstimatedRunSeconds = true, 0
+	sim.Submit(spec, time.Hour)
 	require.True(t, sim.RunUntil(time.Minute, hasRunningTasks(sim, "job-1", 2)))
-	lost := 0
-	sim.State.LoseReply = func(_ string, txn core.Txn) (bool, time.Duration) {
-		if changesKey(txn, "slice/a/job-1") && changesKey(txn, "slice/b/job-1") {
-			lost++
-		}
-		return lost == 1 && changesKey(txn, "slice/a/job-1"), 0 // the transaction is applied
-	}
 	for _, worker := range sim.AliveWorkers() {
 		if worker.zone == "b" {
 			worker.Terminate()
 			worker.removedFromCloud = true // so the cloud does not offer a replacement
 		}
 	}
-	sim.Cloud.AvailableMachines[machineKindKey("small", "b", true)], sim.Cloud.AvailableMachines[machineKindKey("large", "a", true)] = 0, 1
-	extraDemand := newJobSpec("job-2", "red", 1, 2) // makes the owner rent a machine in zone a that can hold the replica as well
+	available[smallInB], available[largeInA] = 0, 1
+	extraDemand := newJobSpec("job-2", "red", 1, 2)
 	extraDemand.Zone = "a"
 	sim.Submit(extraDemand, 5*time.Minute)
+	return sim
+}
+
+// A transaction moves a replica to another shard of the same owner. It is applied, and its reply is
+// lost. The owner must find the replica in the other shard and launch it.
+func TestReplicaMovedByTransactionWithLostReplyIsLaunched(t *testing.T) {
+	sim := newSimulationWithReplicaToMove(t, 73, "a") // one owner of both shards
+	service := sim.Jobs["job-1"]
+	lost := 0
+	sim.State.LoseReply = func(_ string, txn core.Txn) (bool, time.Duration) {
+		if changesKey(txn, "slice/a/job-1") && changesKey(txn, "slice/b/job-1") {
+			lost++
+		}
+		return lost == 1 && changesKey(txn, "slice/a/job-1"), 0 // the transaction is applied
+	}
 	require.True(t, sim.RunUntil(2*time.Minute, func() bool { return lost > 0 }), "the reply to the move is lost")
 	assert.True(t, sim.RunUntil(time.Minute, hasRunningTasks(sim, "job-1", 2)), "the owner launches the moved replica")
 	sim.Cancel(service)
