core: job records older than the watch's start are compared with the state service

Cause: a record that a message or a late answer brings was taken for the present one unless a newer one was known. The watch does not report what has changed before its start, so the record of a job unknown to a restarted owner stayed as it was until its first placement was refused.

Evidence: TestLateMessageAboutAcceptanceOfDoneJobIsCompared fails on: the owner explains the job as unfinished and rents a machine.

Change: unfinished jobs in messages that are unknown and older than the start of the watch are read instead of applied. Records of unknown jobs from other late answers are compared with the state service, many in one request, at most once a second. Loads compare their jobs themselves.

Measured: the test passes, and so does the whole of go test.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,10 +65,13 @@
 	jobCounts                 map[string][]JobCounts // by zone, as the owners last sent them in gossip
 
 	// Jobs, and the users' requests about them.
-	jobs           map[string]*Job           // unfinished jobs, by id
-	finalJobStates map[string]model.JobState // final states of finished jobs, by id; never removed
-	admission      admission                 // submissions that have not been committed yet
-	queries        queryBatcher              // queries of users that have not been answered yet
+	jobs         map[string]*Job // unfinished jobs, by id
+	jobsToReread map[string]bool // ids of jobs whose records may be outdated, see applyJobRecord
+	// nextJobRereadAt is the time before which the jobs in jobsToReread are not compared.
+	nextJobRereadAt time.Duration
+	finalJobStates  map[string]model.JobState // final states of finished jobs, by id; never removed
+	admission       admission                 // submissions that have not been committed yet
+	queries         queryBatcher              // queries of users that have not been answered yet
 
 	// Teams, by team index.
 	quotas           []*TeamQuota
@@ -109,6 +112,7 @@
 		rng:                       rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
 		calls:                     callTable{pending: map[uint64]func(Result){}, countsSinceLog: map[string]int{}},
 		jobs:                      map[string]*Job{},
+		jobsToReread:              map[string]bool{},
 		finalJobStates:            map[string]model.JobState{},
 		admission:                 admission{byJob: map[string]*submission{}},
 		queries:                   queryBatcher{queuedRequests: map[string][]uint64{}},
@@ -188,6 +192,7 @@
 	c.maintainLease()
 	c.watch(&c.shardWatch)
 	c.watch(&c.jobWatch)
+	c.rereadOutdatedJobs()
 	c.refreshCatalog()
 	c.maintainShards()
 	c.maintainHosts()
--- a/internal/core/jobrecords.go
+++ b/internal/core/jobrecords.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"roadcleat/internal/model"
 	"roadcleat/internal/records"
@@ -12,8 +13,21 @@
 const conditionsPerMutation = 4
 
 // applyJobRecord applies a job's record as read, written or received from a peer, and returns
-// the job if it is unfinished. Final states never change and are kept forever.
+// the job if it is unfinished. The record of a job that was unknown until now may be outdated if it
+// is older than the start of the watch on the jobs. It is then compared with the state service,
+// because the watch does not report what has changed before its start.
 func (c *Core) applyJobRecord(id string, value []byte, revision uint64) *Job {
+	isUnknown := c.jobs[id] == nil
+	job := c.adoptJobRecord(id, value, revision)
+	if job != nil && isUnknown && !c.jobWatch.continues(revision) {
+		c.jobsToReread[id] = true
+	}
+	return job
+}
+
+// adoptJobRecord applies a job's record that was current at the start of the watch on the jobs or
+// later, and returns the job if it is unfinished. Final states never change and are kept forever.
+func (c *Core) adoptJobRecord(id string, value []byte, revision uint64) *Job {
 	if _, finished := c.finalJobStates[id]; finished {
 		return nil
 	}
@@ -179,12 +193,30 @@
 	})
 }
 
-// rereadUnfinishedJobs compares every unfinished job with the state service and reads those
-// that differ. It is used when changes may have been missed.
-func (c *Core) rereadUnfinishedJobs() {
-	ids, revisions := sortedKeys(c.jobs), map[string]uint64{}
+// jobRereadInterval is the minimum interval between comparisons of the jobs in jobsToReread, so that
+// one request compares many of them.
+const jobRereadInterval = time.Second
+
+// rereadOutdatedJobs compares the jobs in jobsToReread with the state service, once the watch on the
+// jobs runs: it reports all changes after the comparison.
+func (c *Core) rereadOutdatedJobs() {
+	if len(c.jobsToReread) == 0 || !c.jobWatch.listed || c.now < c.nextJobRereadAt {
+		return
+	}
+	c.nextJobRereadAt = c.now + jobRereadInterval
+	ids := sortedKeys(c.jobsToReread)
+	clear(c.jobsToReread)
+	c.rereadJobs(ids)
+}
+
+// rereadJobs compares the given jobs with the state service and reads those that differ or are not
+// known here. It is used when changes may have been missed.
+func (c *Core) rereadJobs(ids []string) {
+	revisions := map[string]uint64{}
 	for _, id := range ids {
-		revisions[id] = c.jobs[id].revision
+		if job := c.jobs[id]; job != nil {
+			revisions[id] = job.revision
+		}
 	}
 	always := func() bool { return true }
 	same := func(string) {}
--- a/internal/core/loading.go
+++ b/internal/core/loading.go
@@ -203,7 +203,7 @@
 // restoreAssignment applies the records of an assignment and of its job that were read while the
 // shard was loaded. The assignment of a finished job is kept too, with a job created for it.
 func (c *Core) restoreAssignment(shard *Shard, id string, value []byte, revision uint64, item Item) {
-	if job := c.applyJobRecord(id, value, revision); job != nil {
+	if job := c.adoptJobRecord(id, value, revision); job != nil {
 		c.adoptAssignmentOfJob(shard, job, item.Value, item.Revision)
 		return
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -99,10 +99,28 @@
 	}
 }
 
+// applyJobItems applies the job records in a message. A message may arrive long after the job has
+// ended. An unfinished job that this controller does not know, in a record older than the start of the
+// watch on the jobs, is therefore read first: the watch reports only changes since its start.
 func (c *Core) applyJobItems(items []Item) {
 	for _, item := range items {
-		c.applyJobRecord(records.ParseKey(item.Key).Job, item.Value, item.Revision)
+		id := records.ParseKey(item.Key).Job
+		if c.jobWatch.listed && !c.jobWatch.continues(item.Revision) && c.jobs[id] == nil && !isFinalJobRecord(item.Value) {
+			c.jobsToReread[id] = true
+			continue
+		}
+		c.applyJobRecord(id, item.Value, item.Revision)
+	}
+}
+
+// isFinalJobRecord reports whether a job's record has a final state, which never changes again.
+func isFinalJobRecord(value []byte) bool {
+	record, err := records.DecodeJob(value)
+	if err != nil {
+		return false
 	}
+	_, final := record.FinalState()
+	return final
 }
 
 // applyReceivedAssignment applies an assignment that another controller has written.
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -23,7 +23,9 @@
 //   - A shard's assignments are listed only while the watch on the jobs runs. A listing that is older
 //     than the start of the watch is repeated (loadShard, reloadUncoveredShards).
 //   - When the watch on the jobs is started again, every unfinished job is compared with the state
-//     service (rereadUnfinishedJobs).
+//     service (rereadJobs).
+//   - A job record that is older than the start of the watch, and of a job that was unknown until then,
+//     is compared too (jobsToReread): an answer or message may have been on its way for longer.
 type watchState struct {
 	prefix        string
 	listed        bool   // the keys have been listed, so only changes need to be read
@@ -70,7 +72,7 @@
 			c.applyShardList(res.Items)
 			return
 		}
-		c.rereadUnfinishedJobs()
+		c.rereadJobs(sortedKeys(c.jobs))
 		c.reloadUncoveredShards()
 	})
 }
--- a/internal/fake/listing_watch_test.go
+++ b/internal/fake/listing_watch_test.go
@@ -148,6 +148,42 @@
 	}
 }
 
+// The restarted owner is sent a message, queued for its former process, about the acceptance of a job
+// that has been done since. The owner must not rent a machine for it.
+func TestLateMessageAboutAcceptanceOfDoneJobIsCompared(t *testing.T) {
+	sim := newSettledSimulation(t, 142)
+	owner := sim.OwnerOf("a")
+	other := owner.peers()[0]
+	var acceptance core.Message
+	sim.OnPeerMessage = func(from, to string, m core.Message) {
+		if from == other.Name && to == owner.Name && len(m.Jobs) > 0 && acceptance.Jobs == nil {
+			acceptance = m
+		}
+	}
+	job := submitAt(sim, other, "job-1", "a")
+	requireJobEnds(t, sim, job, time.Minute)
+	require.NotEmpty(t, acceptance.Jobs)
+	require.True(t, sim.RunUntil(2*time.Minute, allMachinesTerminated(sim)))
+	owner.Restart(300 * time.Millisecond)
+	sim.Run(5 * time.Second)
+	require.Equal(t, owner, sim.OwnerOf("a"))
+	_, known := owner.Core.Explain("job-1")
+	require.False(t, known, "the new process has no record of the job")
+	from := 0
+	for i, peer := range owner.peers() {
+		if peer == other {
+			from = i
+		}
+	}
+	owner.handle(core.PeerMessage{PeerIndex: from, Message: acceptance})
+	sim.Run(3 * time.Second)
+	explanation, known := owner.Core.Explain("job-1")
+	assert.True(t, known)
+	assert.Equal(t, "done", explanation.State)
+	sim.Run(10 * time.Second)
+	assert.True(t, allMachinesTerminated(sim)(), "no machine is rented for the job")
+}
+
 // A replica is moved to a shard while the shard's restarted owner loads it: after the listing of its
 // assignments and before the end of the load. The owner must launch the replica.
 func TestReplicaMovedToShardWhileItIsLoadedIsLaunched(t *testing.T) {
