leadership: a shard's key read before its observed removal is outdated

What callers saw: a shard had no owner until the crashed one was back (simulated time only).

Cause: an observed removal resets the key's revision, so an answer that was on its way with the former owner counted as newer. The shard seemed owned, and nobody claimed it.

Change: values that are not newer than an observed removal are ignored, as gossip was already.

--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -137,6 +137,9 @@
 	if !shard.claim.AcceptsRevision(revision) {
 		return
 	}
+	if value != nil && shard.claim.IsRemovedSince(revision) {
+		return // the read was answered after the watch had reported the removal
+	}
 	if value == nil {
 		if shard.claim.OutdatedBy(revision) {
 			c.endOwnership(shard, "its key was removed")
--- a/internal/fake/listing_watch_test.go
+++ b/internal/fake/listing_watch_test.go
@@ -214,3 +214,41 @@
 	require.NotZero(t, listedAt)
 	assert.True(t, sim.RunUntil(time.Minute, hasRunningTasks(sim, "job-1", 2)), "the owner launches the moved replica")
 }
+
+// A late message makes a controller read the key of a shard whose owner has crashed. The reply arrives
+// just after the watch has reported that the key was removed with the owner's lease. The controller
+// must claim the shard nevertheless.
+func TestShardIsClaimedThoughItsKeyWasReadBeforeRemoval(t *testing.T) {
+	const readBeforeExpiry, maxReplyAfterExpiry, step = time.Second, 300 * time.Millisecond, 10 * time.Millisecond
+	for after := time.Duration(0); after <= maxReplyAfterExpiry; after += step {
+		sim := NewWithControllers(144, DefaultConfig(), "a", "b")
+		sim.Run(3 * time.Second)
+		owner, other := sim.Nodes[0], sim.Nodes[1]
+		require.Equal(t, owner, sim.OwnerOf("a"))
+		var epoch uint64
+		sim.OnPeerMessage = func(from, _ string, m core.Message) {
+			if from == owner.Name {
+				epoch = m.Epoch
+			}
+		}
+		sim.Run(time.Second)
+		owner.Restart(time.Minute)
+		sim.Run(50 * time.Millisecond) // a renewal of the lease may be on its way
+		shardKey := records.ShardKey("a")
+		expiresAt := sim.State.leases[sim.State.entries[shardKey].leaseID].expiresAt
+		sim.Run(expiresAt - readBeforeExpiry - sim.Now)
+		delayed := 0
+		sim.State.ReplyDelay = func(name string, op core.Operation) time.Duration {
+			if read, isRead := op.(core.ReadKey); isRead && name == other.Name && read.Key == shardKey {
+				delayed++
+				return readBeforeExpiry + after
+			}
+			return 0
+		}
+		other.handle(core.PeerMessage{Message: core.Message{Epoch: epoch, ReleasedShards: []string{"a"}}})
+		require.Equal(t, 1, delayed)
+		isClaimed := func() bool { return sim.OwnerOf("a") == other }
+		assert.True(t, sim.RunUntil(20*time.Second, isClaimed), "the reply arrives %v after the expiry", after)
+		assert.Empty(t, sim.Checker.Violations)
+	}
+}
--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -58,6 +58,11 @@
 // last observed one. While a claim is pending, only the outcome of that claim is accepted.
 func (c *Claim) AcceptsRevision(revision uint64) bool { return revision >= c.revision && !c.pending }
 
+// IsRemovedSince reports whether a value that the key had at the given revision has been observed to
+// be removed since. A read that is answered late may return such a value. If it were accepted, the
+// shard would count as owned although nobody owns it, and nobody would claim it.
+func (c *Claim) IsRemovedSince(revision uint64) bool { return revision <= c.removalRevision }
+
 // OutdatedBy reports whether the given revision of the key ends this controller's ownership.
 func (c *Claim) OutdatedBy(revision uint64) bool { return c.owned && revision > c.token }
 
--- a/internal/leadership/claim_test.go
+++ b/internal/leadership/claim_test.go
@@ -49,6 +49,17 @@
 	assert.Equal(t, "n2", c.Owner(), "gossip is ignored while a claim is pending")
 }
 
+// A read that is answered after the watch has reported the key's removal must not make the shard count
+// as owned: nobody would claim it.
+func TestValueReadBeforeObservedRemovalIsOutdated(t *testing.T) {
+	var c Claim
+	assert.False(t, c.IsRemovedSince(7), "nothing has been observed")
+	c.ObserveOwner("n1", 7)
+	c.ObserveRemoval(9, time.Minute)
+	assert.True(t, c.IsRemovedSince(7))
+	assert.False(t, c.IsRemovedSince(10), "a claim after the removal")
+}
+
 func TestHomeControllerIsStableAfterStabilityPeriod(t *testing.T) {
 	var c Claim
 	at := time.Minute
