leadership: a view of the jobs begins at the answer of its listing

Cause: the view claimed every change since the listing was sent. The watch reports changes after the listing's revision, and the listing is made at any moment up to its answer, so changes of up to a call's timeout were counted as read. An owner that has not loaded its shard relies on the beginning of the view before it answers workers.

Change: the view begins at the answer and still ends where the listing was sent.

--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -67,7 +67,7 @@
 			return
 		}
 		watch.listed, watch.startRevision, watch.revision = true, res.Revision, res.Revision
-		watch.view.Restart(sent)
+		watch.view.Restart(sent, c.now)
 		if watch == &c.shardWatch {
 			c.applyShardList(res.Items)
 			return
--- a/internal/leadership/freshness.go
+++ b/internal/leadership/freshness.go
@@ -11,9 +11,11 @@
 	Until   time.Duration
 }
 
-// Restart starts the view again from a listing that was sent at the given moment.
-func (v *PrefixView) Restart(sent time.Duration) {
-	*v = PrefixView{Started: true, From: sent, Until: sent}
+// Restart starts the view again from a listing that was sent and answered at the given moments. The
+// watch that continues the listing reports no change before the listing was made, which may have been
+// just before its answer, so From is the moment of the answer. It may be after Until.
+func (v *PrefixView) Restart(sent, answered time.Duration) {
+	*v = PrefixView{Started: true, From: answered, Until: sent}
 }
 
 // Extend records an answered call that was sent at the given moment.
--- a/internal/leadership/freshness_test.go
+++ b/internal/leadership/freshness_test.go
@@ -15,11 +15,20 @@
 // viewUntil is a view that started at 1 s and ended at the given number of seconds.
 func viewUntil(seconds int) PrefixView {
 	var v PrefixView
-	v.Restart(at(1))
+	v.Restart(at(1), at(1))
 	v.Extend(at(seconds))
 	return v
 }
 
+// A watch reports no change before the listing that it continues, and the listing is made at any moment
+// between its call and its answer.
+func TestViewBeginsAtAnswerOfListing(t *testing.T) {
+	var v PrefixView
+	v.Restart(at(3), at(5))
+	assert.Equal(t, at(5), v.From)
+	assert.Equal(t, at(3), v.Until)
+}
+
 func TestAllReceivedUntilIsFalseBeforeViewStarts(t *testing.T) {
 	_, ok := NewConfirmations(0).AllReceivedUntil(PrefixView{}, at(5))
 	assert.False(t, ok)
