--- a/internal/fake/invariants.go
+++ b/internal/fake/invariants.go
@@ -36,6 +36,7 @@
 	// faults, starts within CancelWithin are no violations; Result reports their number.
 	StartsAfterCancel int
 
+	attemptStarts   map[attemptKey]int // how often each attempt has started
 	nextWaitCheckAt time.Duration
 	// unknownAssignments are the keys of stored assignments that the owners lack, with the time since
 	// when.
@@ -44,7 +45,11 @@
 
 // newInvariantChecker returns a checker and schedules its regular checks.
 func newInvariantChecker(sim *Simulation) *InvariantChecker {
-	c := &InvariantChecker{simulation: sim, runningOn: map[model.TaskID]map[*Worker]bool{}}
+	c := &InvariantChecker{
+		simulation:    sim,
+		runningOn:     map[model.TaskID]map[*Worker]bool{},
+		attemptStarts: map[attemptKey]int{},
+	}
 	sim.After(0, func() {
 		sim.repeatEvery(checkInterval, c.checkTimedRules)
 		sim.repeatEvery(assignmentCheckInterval, c.checkAssignments)
--- a/internal/fake/invariants_test.go
+++ b/internal/fake/invariants_test.go
@@ -295,3 +295,15 @@
 		requireLastViolation(t, sim, "unknown_assignment")
 	}
 }
+
+func TestInvariantCheckerReportsAttemptThatStartsAgain(t *testing.T) {
+	sim := New(1, DefaultConfig())
+	worker := newWorker(sim, "vm-1", "large", "a", false)
+	attempt := attemptKey{model.TaskID{Job: "job-1"}, 1}
+	sim.Checker.attemptStarted(attempt, worker)
+	attempt.number++
+	sim.Checker.attemptStarted(attempt, worker)
+	require.Empty(t, sim.Checker.Violations)
+	sim.Checker.attemptStarted(attempt, worker)
+	requireLastViolation(t, sim, "started_again")
+}
--- a/internal/fake/node_calls.go
+++ b/internal/fake/node_calls.go
@@ -33,6 +33,8 @@
 	call       core.Call
 	steps      []Step // the protocol steps that the call executes
 	job        *Job   // the job that the steps concern, if any
+	// commandsExecuted is set once a worker has received the commands of the call.
+	commandsExecuted bool
 }
 
 // startCall begins to execute a call of the core. The result is delivered to the core later.
@@ -94,8 +96,8 @@
 	}
 }
 
-// executeDuplicate executes the request once more and discards the reply. Commands to a
-// worker are duplicated only if the process that sent them has stopped.
+// executeDuplicate executes the request once more and discards the reply. Commands to a worker are
+// duplicated if the worker has received them, or if the process that sent them has stopped.
 func (x *outgoingCall) executeDuplicate() {
 	discard := func(core.Result) {}
 	switch op := x.call.Operation.(type) {
@@ -106,7 +108,7 @@
 	case core.ReturnHosts:
 		x.simulation.Cloud.handleReturn(op.Hosts, discard)
 	case core.SendCommands:
-		if x.node.processEpoch != x.epoch {
+		if x.commandsExecuted || x.node.processEpoch != x.epoch {
 			x.simulation.runOnWorker(op.Address, func(worker *Worker) { worker.handleCommands(op, discard) })
 		}
 	}
@@ -200,6 +202,7 @@
 	x.requestWorker(host, func(reply func(core.Result)) {
 		x.simulation.deliverDelayed(worker, op, func() {
 			x.simulation.runOnWorker(op.Address, func(worker *Worker) {
+				x.commandsExecuted = true
 				worker.handleCommands(op, func(res core.Result) {
 					x.simulation.deliverDelayed(worker, res, func() { reply(res) })
 				})
--- a/internal/fake/sent_commands.go
+++ b/internal/fake/sent_commands.go
@@ -6,8 +6,7 @@
 	"roadcleat/internal/core"
 )
 
-// sentCommandsPeriod is how long before its end a process has sent the commands that workers may
-// receive again after its end.
+// sentCommandsPeriod is for how long workers may receive a command again after it was sent.
 const sentCommandsPeriod = 90 * time.Second
 
 // sentCommands is a direct call with commands that a controller process has sent.
@@ -27,11 +26,15 @@
 	}
 }
 
-// repeatSentCommands executes again, within d, the commands that the node's process has sent. The
-// process must have stopped: only the requests of an ended process are repeated.
+// repeatSentCommands executes again, within d, the commands that the node's newest process has sent,
+// whether or not the process still runs.
 func (n *Node) repeatSentCommands(d time.Duration) {
-	sim := n.simulation
-	for _, sent := range n.sentCommands {
+	n.simulation.executeCommandsAgain(n.sentCommands, d)
+}
+
+// executeCommandsAgain executes direct calls again, each at a random time within d.
+func (sim *Simulation) executeCommandsAgain(calls []sentCommands, d time.Duration) {
+	for _, sent := range calls {
 		delay := time.Duration(sim.Rand.Float64() * float64(d))
 		sim.After(delay, func() {
 			sim.runOnWorker(sent.operation.Address, func(worker *Worker) {
@@ -39,5 +42,4 @@
 			})
 		})
 	}
-	n.sentCommands = nil
 }
--- a/internal/fake/simulation.go
+++ b/internal/fake/simulation.go
@@ -34,8 +34,8 @@
 	// HeartbeatCopies, if set, returns the delays after which further copies of a heartbeat arrive.
 	HeartbeatCopies func(worker *Worker) []time.Duration
 	// RepeatRequest, if set, returns the delay after which a request is executed a second time; 0
-	// means not at all. Commands are repeated only once the controller process that sent them has
-	// stopped.
+	// means not at all. Commands that no worker has received are repeated only once the controller
+	// process that sent them has stopped.
 	RepeatRequest func(node string, op core.Operation) time.Duration
 	// PacketDelay, if set, returns the additional latency of a worker's packet, which is one of:
 	// commands (core.SendCommands), the reply to them (core.WorkerResult), a heartbeat
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -28,6 +28,7 @@
 	outboundCutUntil       time.Duration // the worker can open no connection until then
 	RunTimeFactor          float64       // factor on the run times of tasks, 1 on a normal machine
 	FailsEveryTask         bool          // every task fails on the machine
+	refusesUntil           time.Duration // launches are refused until then, as for lack of free capacity
 	reclaimAt              time.Duration // when the cloud reclaims the machine, 0 without a spot notice
 
 	// incarnation starts at 1 and increases whenever the lease expires, which drops all
--- a/internal/fake/worker_tasks.go
+++ b/internal/fake/worker_tasks.go
@@ -84,7 +84,7 @@
 		w.endAttempt(attempt, core.ExitNoSuchTask)
 		return
 	}
-	if !w.hasFreeCapacity(job.Spec.TaskResources, attempt) {
+	if w.simulation.Now < w.refusesUntil || !w.hasFreeCapacity(job.Spec.TaskResources, attempt) {
 		w.endAttempt(attempt, core.ExitNoCapacity)
 		return
 	}
@@ -111,6 +111,7 @@
 		return
 	}
 	attempt.state, attempt.startedAt, w.statusChanged = core.TaskRunning, w.simulation.Now, true
+	w.simulation.Checker.attemptStarted(attemptKey{attempt.task, attempt.number}, w)
 	w.simulation.Checker.taskStarted(attempt.task, w)
 	w.simulation.emitStepEvent(StepEvent{LaunchTask, PhaseAfter, nil, w, job})
 	if job.failsAttempt(attempt.number) || w.FailsEveryTask {
