--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -188,24 +188,6 @@
 	})
 }
 
-// rereadShard reads a shard's key and applies the value, unless this controller owns or claims the
-// shard by then.
-func (c *Core) rereadShard(shard *Shard) {
-	c.readKey(shard.key(), true, func(res ReadResult) {
-		switch {
-		case res.Outcome != OutcomeOK:
-			shard.retryNotBefore = c.now + shardReadRetryDelay
-			c.shardWatch.listed = false // the shards are listed again instead
-		case shard.claim.OwnedOrPending():
-		case !res.Found:
-			shard.claim.ObserveAbsence(c.now)
-		default:
-			shard.claim.MarkKeyRead()
-			c.applyShardRecord(shard, res.Item.Value, res.Item.Revision)
-		}
-	})
-}
-
 // onShardClaimed handles a committed claim, whose revision is the new fencing token. In a new term it
 // prepares the shard and loads its assignments. It makes a probe of every worker due, which shows the
 // worker the new token.
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -115,51 +115,6 @@
 	}
 }
 
-// applyShardList applies a listing of all shards' keys. Shards that it does not contain are free.
-func (c *Core) applyShardList(items []Item) {
-	listedZones := map[string]bool{}
-	for _, item := range items {
-		zone := records.ParseKey(item.Key).Zone
-		listedZones[zone] = true
-		c.applyShardRecord(c.shards[c.zoneIndexOrAdd(zone)], item.Value, item.Revision)
-	}
-	for _, shard := range c.shards {
-		if !listedZones[shard.name] && !shard.claim.Pending() {
-			c.applyShardRecord(shard, nil, c.shardWatch.revision)
-		}
-	}
-}
-
-// applyShardRecord applies a shard's key as it was read from the state service. If the key has been
-// deleted, value is nil and revision is that of the deletion. A record that cannot be decoded is
-// ignored.
-func (c *Core) applyShardRecord(shard *Shard, value []byte, revision uint64) {
-	if !shard.claim.AcceptsRevision(revision) {
-		return
-	}
-	if value != nil && shard.claim.IsRemovedSince(revision) {
-		return // the read was answered after the watch had reported the removal
-	}
-	if value == nil {
-		if shard.claim.OutdatedBy(revision) {
-			c.endOwnership(shard, "its key was removed")
-		}
-		shard.claim.ObserveRemoval(revision, c.now)
-		return
-	}
-	record, err := records.DecodeShard(value)
-	if err != nil {
-		return
-	}
-	if c.adoptRaisedToken(shard, record, revision) {
-		return
-	}
-	if shard.claim.OutdatedBy(revision) {
-		c.endOwnership(shard, "claimed by "+record.Owner)
-	}
-	shard.claim.ObserveOwner(record.Owner, revision)
-}
-
 // Pauses and timeouts of watches. The view of the jobs advances only when a call is answered, and
 // workers are answered only while that view is younger than leadership.LeaseRenewalWindow. The timeout
 // and the pause of the job watch are therefore fractions of that window.
