fake: late copies of launches also from a process that stays the owner

The cases with later copies require that the attempt is forgotten, without which a copy can't start it.

--- a/internal/fake/repeated_launch_matrix_test.go
+++ b/internal/fake/repeated_launch_matrix_test.go
@@ -38,8 +38,12 @@
 	inject func(sim *Simulation, worker *Worker)
 }
 
-// comebackTime is how long a process or machine is away.
-const comebackTime = 900 * time.Millisecond
+const (
+	// comebackTime is how long a process or machine is away.
+	comebackTime = 900 * time.Millisecond
+	// lateCopyDelay is the time from the next owner's token to the last copy.
+	lateCopyDelay = 20 * time.Second
+)
 
 // comebacks lists what may come back. The pages do not describe a restart of a worker process. They
 // say that a worker keeps the highest token it has seen, its session until its lease expires, and its
@@ -61,14 +65,15 @@
 // ownerChange is how the shard gets its next owner.
 type ownerChange struct {
 	name   string
-	inject func(sim *Simulation, owner *Node)
+	inject func(sim *Simulation, owner *Node) // nil: the owner stays
 }
 
-// ownerChanges lists how the process that sent the launch is followed by another one: it stops and a
-// new one comes back within a second, or it lives on while another controller claims the shard.
+// ownerChanges lists what becomes of the process that sent the launch: it stops, and a new one comes
+// back within a second; it lives on while another controller claims the shard; or it stays the owner.
 var ownerChanges = []ownerChange{
 	{"sender stops", func(_ *Simulation, owner *Node) { owner.Restart(comebackTime) }},
 	{"sender lives on", func(sim *Simulation, owner *Node) { sim.State.Refuse(owner.Name, 8*time.Second) }},
+	{"sender stays the owner", nil},
 }
 
 // launchOutcome is how the first attempt of job-1 ends.
@@ -146,8 +151,8 @@
 
 const (
 	copyAtOnce      copyTime = "right after the outcome"
-	copyBeforeToken copyTime = "before the next owner's token"
-	copyAfterToken  copyTime = "after the next owner's token"
+	copyBeforeToken copyTime = "before the next owner's token" // if the owner stays: once the attempt is forgotten
+	copyAfterToken  copyTime = "after the next owner's token"  // if the owner stays: also after lateCopyDelay
 )
 
 // newMatrixSimulation returns a simulation in which one machine each is idle in the zones a and b. No
@@ -237,21 +242,23 @@
 		repeat()
 		sim.Run(comebackTime)
 	} else {
-		sim.RunUntil(30*time.Second, hasForgotten(sim, "job-1"))
+		require.True(t, sim.RunUntil(30*time.Second, hasForgotten(sim, "job-1")), "the worker forgets the attempt")
 	}
 	token := worker.fencingToken
-	c.change.inject(sim, owner)
+	if c.change.inject != nil {
+		c.change.inject(sim, owner)
+	}
 	c.back.inject(sim, worker)
 	if c.when == copyBeforeToken {
 		repeat()
 	}
 	// A machine whose session ended although its heartbeats were answered is returned to the cloud.
-	hasNextToken := func() bool { return worker.fencingToken > token || worker.terminated }
+	hasNextToken := func() bool { return c.change.inject == nil || worker.fencingToken > token || worker.terminated }
 	require.True(t, sim.RunUntil(20*time.Second, hasNextToken), "the worker receives the next owner's token")
 	if c.when == copyAfterToken {
 		repeat()
 	}
-	sim.Run(20 * time.Second)
+	sim.Run(lateCopyDelay)
 	if c.when == copyAfterToken { // also once the next owner has had the worker forget its attempts
 		repeat()
 		sim.Run(5 * time.Second)
