core, fake: the map of known revisions, removed keys and stored assignments without repetition

Change: knownRevisions serves both, IsRemovedSince serves gossip too, only lacking assignments are sorted. Behaviour stays as it is.

--- a/internal/core/jobcomparison.go
+++ b/internal/core/jobcomparison.go
@@ -30,6 +30,17 @@
 	})
 }
 
+// knownRevisions returns the revisions in memory of those of the given jobs that are unfinished here.
+func (c *Core) knownRevisions(ids []string) map[string]uint64 {
+	revisions := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		if job := c.jobs[id]; job != nil {
+			revisions[id] = job.revision
+		}
+	}
+	return revisions
+}
+
 // compareRevisions checks with one request whether the jobs still have the given revisions,
 // where 0 means that the job does not exist. It calls then with the request's outcome, the jobs
 // whose state is unresolved and the jobs that differ. Unless the request was refused, the first
@@ -109,15 +120,9 @@
 // rereadJobs compares the given jobs with the state service and reads those that differ or are not
 // known here. It is used when changes may have been missed.
 func (c *Core) rereadJobs(ids []string) {
-	revisions := map[string]uint64{}
-	for _, id := range ids {
-		if job := c.jobs[id]; job != nil {
-			revisions[id] = job.revision
-		}
-	}
 	always := func() bool { return true }
 	same := func(string) {}
-	c.compareAllRevisions(ids, revisions, always, same, func(id string) {
+	c.compareAllRevisions(ids, c.knownRevisions(ids), always, same, func(id string) {
 		c.readUntilAnswered(records.JobKey(id), always, func(res ReadResult) {
 			if res.Found {
 				c.applyJobRecord(id, res.Item.Value, res.Item.Revision)
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -66,12 +66,7 @@
 // verifyQueries checks with the state service that the given jobs still have the revisions in
 // memory, and answers the queries for them. Jobs that differ are read.
 func (c *Core) verifyQueries(ids []string, requests map[string][]uint64) {
-	revisions := make(map[string]uint64, len(ids))
-	for _, id := range ids {
-		if job := c.jobs[id]; job != nil {
-			revisions[id] = job.revision
-		}
-	}
+	revisions := c.knownRevisions(ids)
 	c.queries.inFlightVerifications++
 	c.compareRevisions(ids, revisions, func(out Outcome, unresolved, differing []string) {
 		c.queries.inFlightVerifications--
--- a/internal/core/shardrecords.go
+++ b/internal/core/shardrecords.go
@@ -24,9 +24,6 @@
 	if !shard.claim.AcceptsRevision(revision) {
 		return
 	}
-	if value != nil && shard.claim.IsRemovedSince(revision) {
-		return // the read was answered after the watch had reported the removal
-	}
 	if value == nil {
 		if shard.claim.OutdatedBy(revision) {
 			c.endOwnership(shard, "its key was removed")
@@ -34,6 +31,9 @@
 		shard.claim.ObserveRemoval(revision, c.now)
 		return
 	}
+	if shard.claim.IsRemovedSince(revision) {
+		return // the read was answered after the watch had reported the removal
+	}
 	record, err := records.DecodeShard(value)
 	if err != nil {
 		return
--- a/internal/fake/invariants_assignments.go
+++ b/internal/fake/invariants_assignments.go
@@ -21,7 +21,7 @@
 func (c *InvariantChecker) checkAssignments() {
 	sim := c.simulation
 	unknown := map[string]time.Duration{}
-	for _, key := range sortedKeys(sim.State.entries) {
+	for key := range sim.State.entries {
 		k := records.ParseKey(key)
 		if k.Kind != records.KindAssignment || !sim.lacksAssignment(k.Zone, k.Job) {
 			continue
@@ -31,7 +31,10 @@
 			since = sim.Now
 		}
 		unknown[key] = since
-		if sim.Now > since+maxUnknownAssignment {
+	}
+	for _, key := range sortedKeys(unknown) {
+		if sim.Now > unknown[key]+maxUnknownAssignment {
+			k := records.ParseKey(key)
 			c.recordViolation("unknown_assignment", "the owner of %s does not have the assignment of %s", k.Zone, k.Job)
 			unknown[key] = sim.Now
 		}
--- a/internal/fake/listing_watch_test.go
+++ b/internal/fake/listing_watch_test.go
@@ -153,7 +153,7 @@
 func TestLateMessageAboutAcceptanceOfDoneJobIsCompared(t *testing.T) {
 	sim := newSettledSimulation(t, 142)
 	owner := sim.OwnerOf("a")
-	other := owner.peers()[0]
+	other := owner.peers()[0] // its index is 0 in the owner's messages
 	var acceptance core.Message
 	sim.OnPeerMessage = func(from, to string, m core.Message) {
 		if from == other.Name && to == owner.Name && len(m.Jobs) > 0 && acceptance.Jobs == nil {
@@ -169,13 +169,7 @@
 	require.Equal(t, owner, sim.OwnerOf("a"))
 	_, known := owner.Core.Explain("job-1")
 	require.False(t, known, "the new process has no record of the job")
-	from := 0
-	for i, peer := range owner.peers() {
-		if peer == other {
-			from = i
-		}
-	}
-	owner.handle(core.PeerMessage{PeerIndex: from, Message: acceptance})
+	owner.handle(core.PeerMessage{PeerIndex: 0, Message: acceptance})
 	sim.Run(3 * time.Second)
 	explanation, known := owner.Core.Explain("job-1")
 	assert.True(t, known)
--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -94,7 +94,7 @@
 // If the others accepted that statement, nobody would claim the shard, although its owner may
 // start no tasks in it. A removal observed here therefore takes precedence over an older token.
 func (c *Claim) ObserveGossip(owner string, token uint64) {
-	if token > c.revision && token > c.removalRevision && !c.pending {
+	if token > c.revision && !c.IsRemovedSince(token) && !c.pending {
 		c.ObserveOwner(owner, token)
 	}
 }
